--- /dev/null
+++ b/bench/src/main/java/dev/hornbeamwheel/bench/package-info.java
@@ -0,0 +1,2 @@
+/** To be filled by the first change of this module. */
+package dev.hornbeamwheel.bench;
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/model/DataCentreId.java
@@ -0,0 +1,28 @@
+package dev.hornbeamwheel.core.model;
+
+/**
+ * Identifies a data centre.
+ *
+ * @param value the text form, never blank
+ */
+public record DataCentreId(String value) implements Comparable<DataCentreId> {
+  /** Rejects a blank value. */
+  public DataCentreId {
+    Text.requireId("DataCentreId", value);
+  }
+
+  /** Returns the id with the given text form. */
+  public static DataCentreId of(String value) {
+    return new DataCentreId(value);
+  }
+
+  @Override
+  public int compareTo(DataCentreId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/model/HostId.java
@@ -0,0 +1,28 @@
+package dev.hornbeamwheel.core.model;
+
+/**
+ * Identifies an entry host.
+ *
+ * @param value the text form, never blank
+ */
+public record HostId(String value) implements Comparable<HostId> {
+  /** Rejects a blank value. */
+  public HostId {
+    Text.requireId("HostId", value);
+  }
+
+  /** Returns the id with the given text form. */
+  public static HostId of(String value) {
+    return new HostId(value);
+  }
+
+  @Override
+  public int compareTo(HostId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/model/Text.java
@@ -0,0 +1,19 @@
+package dev.hornbeamwheel.core.model;
+
+/** Checks of identifier texts. */
+final class Text {
+  /** Greatest length of an identifier, in characters. */
+  private static final int MAX_ID_LENGTH = 200;
+
+  private Text() {}
+
+  static void requireId(String type, String value) {
+    if (value == null || value.isBlank()) {
+      throw new IllegalArgumentException(type + " must not be blank");
+    }
+    if (value.length() > MAX_ID_LENGTH) {
+      throw new IllegalArgumentException(
+          type + " must have at most " + MAX_ID_LENGTH + " characters, not " + value.length());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/model/UpstreamId.java
@@ -0,0 +1,28 @@
+package dev.hornbeamwheel.core.model;
+
+/**
+ * Identifies an upstream, a server that runs requests of one service.
+ *
+ * @param value the text form, never blank
+ */
+public record UpstreamId(String value) implements Comparable<UpstreamId> {
+  /** Rejects a blank value. */
+  public UpstreamId {
+    Text.requireId("UpstreamId", value);
+  }
+
+  /** Returns the id with the given text form. */
+  public static UpstreamId of(String value) {
+    return new UpstreamId(value);
+  }
+
+  @Override
+  public int compareTo(UpstreamId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** The clock type of the project. */
+package dev.hornbeamwheel.core.time;
