--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/Peer.java
@@ -0,0 +1,8 @@
+package dev.hornbeamwheel.core.routing;
+
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.Incarnation;
+import dev.hornbeamwheel.core.model.MemberId;
+
+/** A live router of the fleet. */
+public record Peer(MemberId id, Incarnation incarnation, DataCentreId dataCentre) {}
