--- a/router/src/main/java/dev/hornbeamwheel/router/package-info.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/package-info.java
@@ -1,2 +1,2 @@
-/** To be filled by the first change of this module. */
+/** The program that takes callers' requests to upstreams. */
 package dev.hornbeamwheel.router;
--- /dev/null
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptRequests.java
@@ -0,0 +1,51 @@
+package dev.hornbeamwheel.router.upstream;
+
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+
+/** Makes the HTTP request of an attempt. */
+final class AttemptRequests {
+  private static final byte[] NO_BODY = new byte[0];
+
+  private AttemptRequests() {}
+
+  static Request of(AttemptSpec spec) {
+    Request.Builder request =
+        new Request.Builder()
+            .url(HttpUrl.get("http://" + spec.address() + spec.target()))
+            .headers(spec.headers())
+            .header(UpstreamHeaders.REQUEST_ID, spec.requestId().value())
+            .header(UpstreamHeaders.SLICE, sliceText(spec))
+            .header(UpstreamHeaders.EPOCH, Long.toString(spec.epoch()))
+            .header(UpstreamHeaders.DEADLINE_MILLIS, Long.toString(spec.timeoutMillis()))
+            .header("Accept-Encoding", "identity")
+            .method(spec.method(), body(spec));
+    spec.idempotencyKey()
+        .ifPresent(key -> request.header(UpstreamHeaders.IDEMPOTENCY_KEY, key.value()));
+    spec.validator().ifPresent(validator -> resume(request, spec.resumeOffset(), validator));
+    return request.build();
+  }
+
+  private static void resume(Request.Builder request, long offset, String validator) {
+    request.header(UpstreamHeaders.RANGE, "bytes=" + offset + "-");
+    request.header(UpstreamHeaders.IF_RANGE, validator);
+  }
+
+  private static String sliceText(AttemptSpec spec) {
+    return spec.slice().isolated()
+        ? spec.slice().shard() + ":" + Long.toHexString(spec.slice().keyHash())
+        : Integer.toString(spec.slice().shard());
+  }
+
+  private static RequestBody body(AttemptSpec spec) {
+    boolean needsBody = "POST".equals(spec.method()) || "PUT".equals(spec.method()) || "PATCH".equals(spec.method());
+    if (spec.body().length == 0 && !needsBody) {
+      return null;
+    }
+    byte[] content = spec.body().length == 0 ? NO_BODY : spec.body();
+    String type = spec.headers().get("Content-Type");
+    return RequestBody.create(content, type == null ? null : MediaType.parse(type));
+  }
+}
