--- /dev/null
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line, exit codes and shutdown that all long-running programs share. */
+package dev.hornbeamwheel.runtime.cli;
--- /dev/null
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics that the programs share. */
+package dev.hornbeamwheel.runtime.metrics;
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/package-info.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/package-info.java
@@ -1,2 +1,2 @@
-/** To be filled by the first change of this module. */
+/** What all programs share: settings, command line, logs, metrics, operator port, event loop. */
 package dev.hornbeamwheel.runtime;
--- /dev/null
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Strict reading of the JSON settings of a program. */
+package dev.hornbeamwheel.runtime.settings;
