Keep claims on idempotency keys at the voters and evidence of crashing requests

A new term number's voters seal the earlier ones themselves and open once a majority of each predecessor has handed its claims over. Ruled out: carrying the claims in ownership's seal replies alone, which reach one candidate and not every new voter.

--- a/core/src/main/java/dev/hornbeamwheel/core/claims/ClaimEvent.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/claims/ClaimEvent.java
@@ -16,21 +16,16 @@
       implements ClaimEvent {}
 
   /**
-   * This member became a voter of a term and may record claims under its number.
+   * A row of the table was learned.
    *
-   * @param records union of the claims that the sealed voters of the predecessors handed over
-   * @param complete whether a majority of each predecessor's voters handed over theirs, or there
-   *     was no predecessor
+   * @param term the term number of the row and its voters
+   * @param predecessors earlier term numbers that the row names as unsealed
    */
-  record TermOpened(
-      long atMillis, CellId cell, long termNumber, List<ClaimRecord> records, boolean complete)
+  record RowLearned(long atMillis, CellId cell, ClaimTerm term, List<ClaimTerm> predecessors)
       implements ClaimEvent {
     /** Copies the list. */
-    public TermOpened {
-      records = List.copyOf(records);
+    public RowLearned {
+      predecessors = List.copyOf(predecessors);
     }
   }
-
-  /** This member sealed a term: it records no more claims under this or an older number. */
-  record TermSealed(long atMillis, CellId cell, long termNumber) implements ClaimEvent {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/claims/ClaimMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/claims/ClaimMessage.java
@@ -4,15 +4,13 @@
 import dev.hornbeamwheel.core.model.ContractId;
 import dev.hornbeamwheel.core.model.IdempotencyKey;
 import dev.hornbeamwheel.core.model.RequestId;
+import java.util.List;
 
-/** A message between a router and a voter of a cell about a claim on an idempotency key. */
+/** A message about claims on idempotency keys, between a router and a voter or two voters. */
 public sealed interface ClaimMessage {
   /** Returns the cell whose voters keep the claim. */
   CellId cell();
 
-  /** Returns the request that claims the key. */
-  RequestId requestId();
-
   /**
    * Asks a voter to record that a request is about to run.
    *
@@ -61,6 +59,30 @@
   /** Acknowledges that a voter has recorded how a request ended, or has no claim of it. */
   record Settled(CellId cell, RequestId requestId) implements ClaimMessage {}
 
+  /**
+   * Tells a voter of an earlier term number to record no more claims, and asks for those it has.
+   *
+   * @param number the new term number; every earlier one is sealed
+   */
+  record SealClaims(CellId cell, long number) implements ClaimMessage {}
+
+  /**
+   * Hands the claims of a sealed voter over.
+   *
+   * @param number the new term number that asked
+   * @param ownNumber the term number that the sender was a voter of
+   * @param records the claims that it remembers
+   * @param complete whether nothing from before its own term is missing
+   */
+  record SealedClaims(
+      CellId cell, long number, long ownNumber, List<ClaimRecord> records, boolean complete)
+      implements ClaimMessage {
+    /** Copies the list. */
+    public SealedClaims {
+      records = List.copyOf(records);
+    }
+  }
+
   /** What a voter did with a claim. */
   enum Verdict {
     /** The claim is new, or the same as before, and is recorded. */
--- a/core/src/main/java/dev/hornbeamwheel/core/dispatch/DispatchMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/dispatch/DispatchMessage.java
@@ -24,7 +24,7 @@
    * @param requestId the request that waits
    * @param upstream the only upstream that may run it; null if any may
    * @param avoid upstreams that it has already been tried on
-   * @param fingerprint hash of the request
+   * @param fingerprint hash of the request if it is suspected of a crash; otherwise zero
    * @param waitedMillis time that it has waited so far
    * @param remainingMillis time until its deadline
    */
@@ -107,12 +107,18 @@
   /**
    * Reports periodically which leases a router holds, and keeps them from lapsing.
    *
+   * @param stampMillis the sender's clock, repeated by the acknowledgement
+   * @param echoMillis stamp of the last acknowledgement from this dispatcher; zero if none
+   * @param backed whether the sender backs no other dispatcher of these slots
    * @param leases the leases held
    * @param temperatures what the router knows of the upstreams
    */
   record Holding(
       ServiceId service,
       DataCentreId dataCentre,
+      long stampMillis,
+      long echoMillis,
+      boolean backed,
       List<HeldLease> leases,
       List<Temperature> temperatures)
       implements DispatchMessage {
@@ -123,6 +129,26 @@
     }
   }
 
+  /**
+   * Acknowledges {@link Holding}.
+   *
+   * @param stampMillis repeated from the report
+   * @param dispatcherMillis the dispatcher's clock
+   * @param temperatures what the dispatcher knows of the upstreams
+   */
+  record HoldingAck(
+      ServiceId service,
+      DataCentreId dataCentre,
+      long stampMillis,
+      long dispatcherMillis,
+      List<Temperature> temperatures)
+      implements DispatchMessage {
+    /** Copies the list. */
+    public HoldingAck {
+      temperatures = List.copyOf(temperatures);
+    }
+  }
+
   /** Hands the state of a stopping dispatcher to its successor. */
   record HandOver(ServiceId service, DataCentreId dataCentre, List<Temperature> temperatures)
       implements DispatchMessage {
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingReducer.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingReducer.java
@@ -2,6 +2,7 @@
 
 import dev.hornbeamwheel.core.Reducer;
 import java.util.List;
+import java.util.Objects;
 
 /** Decides for each request of a router where it runs and what its caller is told. */
 public final class RoutingReducer implements Reducer<RoutingEvent, RoutingEffect> {
@@ -18,6 +19,7 @@
 
   @Override
   public List<RoutingEffect> reduce(RoutingEvent event) {
-    return settings == null ? List.of() : List.of();
+    Objects.requireNonNull(settings);
+    return List.of();
   }
 }
