--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Gossip between members: who is alive, and the items that every member should know. */
+package dev.hornbeamwheel.core.membership;
