--- a/examples/src/main/java/dev/hornbeamwheel/examples/Caller.java
+++ b/examples/src/main/java/dev/hornbeamwheel/examples/Caller.java
@@ -8,6 +8,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import okio.ByteString;
 
 /**
  * A caller of one router with one contract.
@@ -86,7 +87,7 @@
 
   private Answer send(Request request) throws IOException {
     try (Response response = client.newCall(request).execute()) {
-      byte[] body = response.body().bytes();
+      ByteString body = response.body().byteString();
       return new Answer(response.code(), response.header("Hbw-Outcome", "none"), body);
     }
   }
@@ -98,5 +99,5 @@
    * @param outcome {@code completed}, {@code not-run} or {@code unknown}
    * @param body the body
    */
-  public record Answer(int status, String outcome, byte[] body) {}
+  public record Answer(int status, String outcome, ByteString body) {}
 }
--- a/router/src/main/java/dev/hornbeamwheel/router/http/CallerExchange.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/http/CallerExchange.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
+import okio.ByteString;
 import org.xnio.IoUtils;
 
 /**
@@ -34,19 +35,19 @@
 
   private final HttpServerExchange exchange;
   private final CallerRequest request;
-  private final byte[] body;
+  private final ByteString body;
   private final ByteArrayOutputStream held = new ByteArrayOutputStream();
   private State state = State.HELD;
   private AnswerHead head;
   private OutputStream stream;
 
-  private CallerExchange(HttpServerExchange exchange, CallerRequest request, byte[] body) {
+  private CallerExchange(HttpServerExchange exchange, CallerRequest request, ByteString body) {
     this.exchange = exchange;
     this.request = request;
     this.body = body;
   }
 
-  static CallerExchange of(HttpServerExchange exchange, CallerRequest request, byte[] body) {
+  static CallerExchange of(HttpServerExchange exchange, CallerRequest request, ByteString body) {
     return new CallerExchange(exchange, request, body);
   }
 
@@ -61,7 +62,7 @@
   }
 
   /** Returns the body of the request; empty if there is none. */
-  public byte[] body() {
+  public ByteString body() {
     return body;
   }
 
@@ -73,8 +74,7 @@
         .forEach(
             values ->
                 values.forEach(
-                    value ->
-                        headers.addUnsafeNonAscii(values.getHeaderName().toString(), value)));
+                    value -> headers.addUnsafeNonAscii(values.getHeaderName().toString(), value)));
     return EndToEndHeaders.of(headers.build());
   }
 
@@ -121,7 +121,7 @@
    * @param retryAfterMillis time after which a retry may succeed; zero if it says nothing
    */
   public synchronized void fail(ProblemKind problem, Outcome outcome, long retryAfterMillis) {
-    ProblemDocument document = ProblemDocument.of(problem, outcome, id().value());
+    ProblemDocument document = ProblemDocument.of(problem, outcome, request.shownId());
     State before = end();
     if (before == State.HELD) {
       exchange.getIoThread().execute(() -> Problems.send(exchange, document, retryAfterMillis));
@@ -132,7 +132,7 @@
 
   /** Ends the answer as refused before it was routed. */
   public synchronized void refuse(RequestProblem problem, long retryAfterMillis) {
-    ProblemDocument document = ProblemDocument.of(problem, id().value());
+    ProblemDocument document = ProblemDocument.of(problem, request.shownId());
     if (end() == State.HELD) {
       exchange.getIoThread().execute(() -> Problems.send(exchange, document, retryAfterMillis));
     }
@@ -164,9 +164,7 @@
       exchange.endExchange();
       return;
     }
-    exchange
-        .getResponseSender()
-        .send(ByteBuffer.wrap(held.toByteArray()), IoCallback.END_EXCHANGE);
+    exchange.getResponseSender().send(ByteBuffer.wrap(held.toByteArray()), IoCallback.END_EXCHANGE);
   }
 
   private void sendHead() {
@@ -178,9 +176,7 @@
                     .getResponseHeaders()
                     .add(HttpString.tryFromString(header.getFirst()), header.getSecond()));
     exchange.getResponseHeaders().remove(Headers.CONTENT_LENGTH);
-    exchange.getResponseHeaders().put(CallerHeaders.REQUEST_ID, id().value());
-    exchange
-        .getResponseHeaders()
-        .put(CallerHeaders.OUTCOME, OutcomeText.of(Outcome.COMPLETED));
+    exchange.getResponseHeaders().put(CallerHeaders.REQUEST_ID, request.shownId());
+    exchange.getResponseHeaders().put(CallerHeaders.OUTCOME, OutcomeText.of(Outcome.COMPLETED));
   }
 }
--- a/router/src/main/java/dev/hornbeamwheel/router/http/CallerHandler.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/http/CallerHandler.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.router.http;
 
 import dev.hornbeamwheel.core.model.RequestId;
+import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -8,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import okio.ByteString;
 
 /** Reads and checks callers' requests and hands the accepted ones over. */
 public final class CallerHandler implements HttpHandler {
@@ -69,16 +71,15 @@
       refuse(exchange, RequestProblem.BODY_TOO_LARGE);
       return;
     }
-    exchange
-        .getRequestReceiver()
-        .setMaxBufferSize(maxBodyBytes)
-        .receiveFullBytes(
-            (source, body) -> handOver(source, request, body),
-            (source, e) -> refuse(source, RequestProblem.BODY_TOO_LARGE));
+    Receiver receiver = exchange.getRequestReceiver();
+    receiver.setMaxBufferSize(maxBodyBytes);
+    receiver.receiveFullBytes(
+        (source, body) -> handOver(source, request, body),
+        (source, e) -> refuse(source, RequestProblem.BODY_TOO_LARGE));
   }
 
   private void handOver(HttpServerExchange exchange, CallerRequest request, byte[] body) {
-    CallerExchange caller = CallerExchange.of(exchange, request, body);
+    CallerExchange caller = CallerExchange.of(exchange, request, ByteString.of(body));
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accepted.accept(caller));
   }
 
--- a/router/src/main/java/dev/hornbeamwheel/router/http/CallerRequest.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/http/CallerRequest.java
@@ -10,7 +10,8 @@
 /**
  * A checked request of a caller, without its body.
  *
- * @param id given by the caller or drawn by the router
+ * @param id unique in the fleet
+ * @param shownId what the caller knows the request by: the id that it gave, or else {@code id}
  * @param contract the contract that the token belongs to
  * @param service the service
  * @param key the key; present for each keyed service
@@ -22,6 +23,7 @@
  */
 public record CallerRequest(
     RequestId id,
+    String shownId,
     ContractId contract,
     Service service,
     Optional<Key> key,
--- a/router/src/main/java/dev/hornbeamwheel/router/http/RequestChecker.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/http/RequestChecker.java
@@ -36,7 +36,7 @@
     this.newIds = newIds;
   }
 
-  /** Returns a checker that draws an id for each request whose caller gave none. */
+  /** Returns a checker that draws an id for each request. */
   static RequestChecker drawing(Supplier<RequestId> newIds) {
     return new RequestChecker(newIds);
   }
@@ -74,9 +74,11 @@
     if (problem.isPresent()) {
       return new RequestCheck.Refused(problem.get());
     }
+    RequestId id = newIds.get();
     return new RequestCheck.Accepted(
         new CallerRequest(
-            first(headers, CallerHeaders.REQUEST_ID).map(RequestId::of).orElseGet(newIds),
+            id,
+            first(headers, CallerHeaders.REQUEST_ID).orElse(id.value()),
             contract.id(),
             service,
             first(headers, CallerHeaders.KEY).map(Key::of),
@@ -101,7 +103,8 @@
         : Optional.empty();
   }
 
-  private static Optional<RequestProblem> idempotencyProblem(HeaderMap headers, boolean idempotent) {
+  private static Optional<RequestProblem> idempotencyProblem(
+      HeaderMap headers, boolean idempotent) {
     Optional<String> key = first(headers, CallerHeaders.IDEMPOTENCY_KEY);
     if (key.isEmpty()) {
       return idempotent ? Optional.empty() : Optional.of(RequestProblem.MISSING_IDEMPOTENCY_KEY);
--- a/router/src/main/java/dev/hornbeamwheel/router/http/RequestProblem.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/http/RequestProblem.java
@@ -9,11 +9,9 @@
  */
 public enum RequestProblem {
   /** The contract token is missing or matches no contract. */
-  UNKNOWN_CONTRACT(
-      401, "present the token of a contract as Authorization: Bearer TOKEN"),
+  UNKNOWN_CONTRACT(401, "present the token of a contract as Authorization: Bearer TOKEN"),
   /** The contract does not include the service. */
-  SERVICE_NOT_IN_CONTRACT(
-      403, "ask the operators to add the service to the contract"),
+  SERVICE_NOT_IN_CONTRACT(403, "ask the operators to add the service to the contract"),
   /** No such service is declared. */
   UNKNOWN_SERVICE(404, "call /SERVICE/PATH with the name of a declared service"),
   /** A keyed service was called without a key. */
@@ -24,14 +22,11 @@
   MISSING_IDEMPOTENCY_KEY(
       400, "send a fresh Idempotency-Key with each new POST or PATCH operation"),
   /** The idempotency key is malformed. */
-  BAD_IDEMPOTENCY_KEY(
-      400, "send an Idempotency-Key of 1 to 200 letters, digits, '-', '_' or '.'"),
+  BAD_IDEMPOTENCY_KEY(400, "send an Idempotency-Key of 1 to 200 letters, digits, '-', '_' or '.'"),
   /** The request id is malformed. */
-  BAD_REQUEST_ID(
-      400, "send an Hbw-Request-Id of 1 to 200 letters, digits, '-', '_' or '.'"),
+  BAD_REQUEST_ID(400, "send an Hbw-Request-Id of 1 to 200 letters, digits, '-', '_' or '.'"),
   /** The deadline is malformed or out of range. */
-  BAD_DEADLINE(
-      400, "send Hbw-Deadline-Millis as a whole number from 1 to 600000"),
+  BAD_DEADLINE(400, "send Hbw-Deadline-Millis as a whole number from 1 to 600000"),
   /** The headers are too large. */
   HEADERS_TOO_LARGE(431, "send at most 16384 bytes of headers"),
   /** The body is too large. */
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptRequests.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptRequests.java
@@ -1,5 +1,6 @@
 package dev.hornbeamwheel.router.upstream;
 
+import java.util.Set;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.Request;
@@ -7,7 +8,7 @@
 
 /** Makes the HTTP request of an attempt. */
 final class AttemptRequests {
-  private static final byte[] NO_BODY = new byte[0];
+  private static final Set<String> BODY_METHODS = Set.of("POST", "PUT", "PATCH");
 
   private AttemptRequests() {}
 
@@ -40,12 +41,11 @@
   }
 
   private static RequestBody body(AttemptSpec spec) {
-    boolean needsBody = "POST".equals(spec.method()) || "PUT".equals(spec.method()) || "PATCH".equals(spec.method());
-    if (spec.body().length == 0 && !needsBody) {
+    boolean needsBody = BODY_METHODS.contains(spec.method());
+    if (spec.body().size() == 0 && !needsBody) {
       return null;
     }
-    byte[] content = spec.body().length == 0 ? NO_BODY : spec.body();
     String type = spec.headers().get("Content-Type");
-    return RequestBody.create(content, type == null ? null : MediaType.parse(type));
+    return RequestBody.create(spec.body(), type == null ? null : MediaType.parse(type));
   }
 }
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptSpec.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptSpec.java
@@ -5,6 +5,7 @@
 import dev.hornbeamwheel.core.model.Slice;
 import java.util.Optional;
 import okhttp3.Headers;
+import okio.ByteString;
 
 /**
  * One attempt at an upstream.
@@ -28,7 +29,7 @@
     String method,
     String target,
     Headers headers,
-    byte[] body,
+    ByteString body,
     Slice slice,
     long epoch,
     Optional<IdempotencyKey> idempotencyKey,
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/OkHttpUpstreamClient.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/OkHttpUpstreamClient.java
@@ -59,7 +59,8 @@
   @Override
   public RunningAttempt start(AttemptSpec spec, AttemptListener listener) {
     SendProgress progress = new SendProgress();
-    Request request = AttemptRequests.of(spec).newBuilder().tag(SendProgress.class, progress).build();
+    Request request =
+        AttemptRequests.of(spec).newBuilder().tag(SendProgress.class, progress).build();
     Call call = client.newCall(request);
     call.timeout().timeout(Math.max(1, spec.timeoutMillis()), TimeUnit.MILLISECONDS);
     call.enqueue(OkHttpAttempt.of(spec, listener, progress));
