--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/node/package-info.java
@@ -0,0 +1,2 @@
+/** Joins the concerns of a process into one reducer. */
+package dev.hornbeamwheel.core.node;
--- /dev/null
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/TemperatureMapping.java
@@ -0,0 +1,38 @@
+package dev.hornbeamwheel.wire;
+
+import dev.hornbeamwheel.core.dispatch.Temperature;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.proto.TemperatureState;
+import java.util.List;
+
+/** Protobuf form of what members know of how much an upstream bears. */
+final class TemperatureMapping {
+  private TemperatureMapping() {}
+
+  static TemperatureState toProto(Temperature temperature) {
+    return TemperatureState.newBuilder()
+        .setUpstream(temperature.upstream().value())
+        .setIncarnation(temperature.incarnation())
+        .setColdStarts(temperature.coldStarts())
+        .setRatePerSecond(temperature.ratePerSecond())
+        .setWarm(temperature.warm())
+        .build();
+  }
+
+  static Temperature fromProto(TemperatureState state) {
+    return new Temperature(
+        UpstreamId.of(state.getUpstream()),
+        state.getIncarnation(),
+        state.getColdStarts(),
+        state.getRatePerSecond(),
+        state.getWarm());
+  }
+
+  static List<TemperatureState> allToProto(List<Temperature> temperatures) {
+    return temperatures.stream().map(TemperatureMapping::toProto).toList();
+  }
+
+  static List<Temperature> allFromProto(List<TemperatureState> states) {
+    return states.stream().map(TemperatureMapping::fromProto).toList();
+  }
+}
--- a/wire/src/main/java/dev/hornbeamwheel/wire/package-info.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/package-info.java
@@ -1,2 +1,2 @@
-/** To be filled by the first change of this module. */
+/** Messages between members over TCP: transport, frames and their protobuf form. */
 package dev.hornbeamwheel.wire;
