Implement leadership, leases and moves of cells

Cause: the ownership part had types only. Change: voter, candidacy, sealing, row store, number change, leader with lease book and planner. Reading a row now repeats a read id, because a late answer must not count as a recent one.

--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Liveness.java
@@ -0,0 +1,85 @@
+package dev.hornbeamwheel.core.ownership;
+
+import dev.hornbeamwheel.core.model.CellId;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.SealRequest;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What is known of the voters of one cell beyond the membership, by asking them. */
+final class Liveness {
+  /** Time between probes, in milliseconds. */
+  private static final long PROBE_MILLIS = 250;
+
+  /** Age from which an answer proves nothing more, in milliseconds. */
+  private static final long ANSWER_MILLIS = 1000;
+
+  /** Term number that no term has, so that its seal changes nothing. */
+  private static final long NO_NUMBER = 0;
+
+  private final Context context;
+  private final CellId cell;
+  private final Map<Voter, Long> answeredAt = new HashMap<>();
+  private final Set<Voter> restarted = new HashSet<>();
+  private long probedAt = -PROBE_MILLIS;
+
+  Liveness(Context context, CellId cell) {
+    this.context = context;
+    this.cell = cell;
+  }
+
+  /** Asks voters for their incarnation. */
+  void probe(Collection<Voter> voters, long now) {
+    if (now - probedAt < PROBE_MILLIS) {
+      return;
+    }
+    probedAt = now;
+    voters.stream()
+        .filter(voter -> !dead(voter))
+        .forEach(
+            voter ->
+                context
+                    .outbox()
+                    .send(voter.member(), new SealRequest(voter.incarnation(), cell, NO_NUMBER)));
+  }
+
+  /** Notes that a controller answered a request that was addressed to a voter. */
+  void answered(Voter asked, Voter replier, long now) {
+    if (asked.equals(replier)) {
+      answeredAt.put(asked, now);
+    } else {
+      restarted.add(asked);
+    }
+  }
+
+  /** Returns whether a voter can surely promise nothing any more. */
+  boolean dead(Voter voter) {
+    return restarted.contains(voter) || context.topology().gone(voter);
+  }
+
+  boolean majorityAlive(List<Voter> voters, long now) {
+    return majority(voters, voters.stream().filter(voter -> alive(voter, now)).count());
+  }
+
+  /** Returns whether a majority is dead or answers, so that it could be sealed. */
+  boolean sealable(List<Voter> voters, long now) {
+    return majority(
+        voters, voters.stream().filter(voter -> dead(voter) || answers(voter, now)).count());
+  }
+
+  private boolean alive(Voter voter, long now) {
+    return context.topology().alive(voter) || answers(voter, now);
+  }
+
+  private boolean answers(Voter voter, long now) {
+    Long at = answeredAt.get(voter);
+    return at != null && now - at <= ANSWER_MILLIS;
+  }
+
+  private static boolean majority(List<Voter> voters, long count) {
+    return count > voters.size() / 2;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Outbox.java
@@ -0,0 +1,64 @@
+package dev.hornbeamwheel.core.ownership;
+
+import dev.hornbeamwheel.core.Decision;
+import dev.hornbeamwheel.core.model.MemberId;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.Heartbeat;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.PromiseRequest;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Collects the effects of one event; batches heartbeats and keeps messages to oneself apart. */
+final class Outbox {
+  private final Voter self;
+  private final Map<Voter, List<PromiseRequest>> requests = new LinkedHashMap<>();
+  private final Deque<OwnershipMessage> local = new ArrayDeque<>();
+  private List<OwnershipEffect> effects = new ArrayList<>();
+
+  Outbox(Voter self) {
+    this.self = self;
+  }
+
+  void send(MemberId to, OwnershipMessage message) {
+    if (to.equals(self.member())) {
+      local.add(message);
+    } else {
+      effects.add(new OwnershipEffect.Send(to, message));
+    }
+  }
+
+  void request(Voter voter, PromiseRequest request) {
+    requests.computeIfAbsent(voter, key -> new ArrayList<>()).add(request);
+  }
+
+  void add(OwnershipEffect effect) {
+    effects.add(effect);
+  }
+
+  void log(Decision decision) {
+    effects.add(new OwnershipEffect.Log(decision));
+  }
+
+  /** Turns the requests that were collected into one heartbeat for each voter. */
+  void flushHeartbeats(long now) {
+    Map<Voter, List<PromiseRequest>> batch = new LinkedHashMap<>(requests);
+    requests.clear();
+    batch.forEach(
+        (voter, list) ->
+            send(voter.member(), new Heartbeat(voter.incarnation(), now, List.copyOf(list))));
+  }
+
+  Optional<OwnershipMessage> nextLocal() {
+    return Optional.ofNullable(local.poll());
+  }
+
+  List<OwnershipEffect> drain() {
+    List<OwnershipEffect> drained = effects;
+    effects = new ArrayList<>();
+    return drained;
+  }
+}
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipEffect.java
@@ -8,11 +8,11 @@
 
 /** Something that the ownership part of a controller wants done. */
 public sealed interface OwnershipEffect {
-  /** Sends a message to a controller; it may be lost. The receiver may be this controller. */
+  /** Sends a message to a controller; it may be lost. */
   record Send(MemberId to, OwnershipMessage message) implements OwnershipEffect {}
 
   /** Reads a row; answered by {@link OwnershipEvent.RowRead}. */
-  record ReadRow(CellId cell) implements OwnershipEffect {}
+  record ReadRow(CellId cell, long readId) implements OwnershipEffect {}
 
   /**
    * Writes a row if the table holds the expected version of it; answered by {@link
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipEvent.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipEvent.java
@@ -22,8 +22,9 @@
   record Received(long atMillis, MemberId from, Incarnation incarnation, OwnershipMessage message)
       implements OwnershipEvent {}
 
-  /** A row was read. */
-  record RowRead(long atMillis, CellId cell, RowReadResult result) implements OwnershipEvent {}
+  /** A row was read; the id repeats that of {@link OwnershipEffect.ReadRow}. */
+  record RowRead(long atMillis, CellId cell, long readId, RowReadResult result)
+      implements OwnershipEvent {}
 
   /** A write ended, or its answer was lost. */
   record RowWritten(long atMillis, CellId cell, String operationId, RowWriteResult result)
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipReducer.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipReducer.java
@@ -1,11 +1,23 @@
 package dev.hornbeamwheel.core.ownership;
 
 import dev.hornbeamwheel.core.Reducer;
+import dev.hornbeamwheel.core.config.Service;
 import dev.hornbeamwheel.core.model.CellId;
 import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.HandOver;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.Heartbeat;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.NumberClosed;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.PromiseReply;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.Promises;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.RowStored;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.SealReply;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.SealRequest;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.StoreRow;
 import dev.hornbeamwheel.core.placement.PlacementPolicy;
 import java.util.List;
 import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
 
 /**
  * Leads cells: elects leaders, grants leases to upstreams, moves slices and drains places.
@@ -17,7 +29,12 @@
  * }</pre>
  */
 public final class OwnershipReducer implements Reducer<OwnershipEvent, OwnershipEffect>, VoterView {
-  private OwnershipReducer() {}
+  private final Context context;
+  private final TreeMap<CellId, Cell> cells = new TreeMap<>();
+
+  private OwnershipReducer(Context context) {
+    this.context = context;
+  }
 
   /**
    * Returns the reducer of one start of a controller.
@@ -36,31 +53,119 @@
       PlacementPolicy policy,
       ClaimsSource claims,
       long seed) {
-    return new OwnershipReducer();
+    return create(new Context(self, dataCentre, options, policy, claims, seed, Shortcut.NONE));
+  }
+
+  static OwnershipReducer create(Context context) {
+    return new OwnershipReducer(context);
   }
 
   @Override
   public List<OwnershipEffect> reduce(OwnershipEvent event) {
-    return List.of();
+    long now = event.atMillis();
+    apply(event, now);
+    context.outbox().flushHeartbeats(now);
+    Optional<OwnershipMessage> local = context.outbox().nextLocal();
+    while (local.isPresent()) {
+      receive(context.self(), local.get(), now);
+      local = context.outbox().nextLocal();
+    }
+    return context.outbox().drain();
+  }
+
+  private void apply(OwnershipEvent event, long now) {
+    if (event instanceof OwnershipEvent.Tick) {
+      tick(now);
+    } else if (event instanceof OwnershipEvent.Received received) {
+      receive(new Voter(received.from(), received.incarnation()), received.message(), now);
+    } else if (event instanceof OwnershipEvent.RowRead read) {
+      cell(read.cell()).read(read.readId(), read.result(), now);
+    } else if (event instanceof OwnershipEvent.RowWritten written) {
+      cell(written.cell()).written(written.operationId(), written.result(), now);
+    } else if (event instanceof OwnershipEvent.RowLearned learned) {
+      cell(learned.row().cell()).learn(learned.row(), false, now);
+    } else if (event instanceof OwnershipEvent.UpstreamReplied replied) {
+      cell(replied.reply().cell()).replied(replied.upstream(), replied.reply(), now);
+    } else if (event instanceof OwnershipEvent.ConfigurationChanged changed) {
+      context.topology().configure(changed.configuration(), now);
+      createCells();
+    } else if (event instanceof OwnershipEvent.MembersChanged members) {
+      context.topology().members(members.live(), members.gone(), now);
+    } else if (event instanceof OwnershipEvent.LoadReported load) {
+      context.load().report(load.service(), load.load());
+    } else if (event instanceof OwnershipEvent.StopRequested) {
+      context.stop();
+      cells.values().forEach(Cell::handOver);
+    } else if (event instanceof OwnershipEvent.HandOverRequested request) {
+      cell(request.cell()).handOver();
+    }
+  }
+
+  private Cell cell(CellId id) {
+    return cells.computeIfAbsent(id, key -> new Cell(context, key));
+  }
+
+  private void createCells() {
+    for (Service service : context.topology().declarations().services()) {
+      IntStream.range(0, service.cells()).forEach(i -> cell(CellId.of(service.id(), i)));
+    }
+  }
+
+  private void tick(long now) {
+    cells.forEach(
+        (id, cell) -> context.topology().service(id.service()).ifPresent(s -> cell.tick(s, now)));
+  }
+
+  private void receive(Voter from, OwnershipMessage message, long now) {
+    if (message instanceof Heartbeat heartbeat) {
+      promise(from, heartbeat, now);
+    } else if (message instanceof Promises promises) {
+      promises
+          .replies()
+          .forEach(reply -> cell(reply.cell()).promised(from, promises.sentAtMillis(), reply, now));
+    } else if (message instanceof StoreRow store) {
+      cell(store.row().cell()).store(from.member(), store, now);
+    } else if (message instanceof RowStored stored) {
+      cell(stored.cell()).stored(from, stored);
+    } else if (message instanceof SealRequest request) {
+      cell(request.cell()).sealRequested(from.member(), request);
+    } else if (message instanceof SealReply reply) {
+      cell(reply.cell()).sealReplied(from, reply, now);
+    } else if (message instanceof HandOver handOver) {
+      cell(handOver.cell()).handedOver(from.member(), handOver, now);
+    } else if (message instanceof NumberClosed closed) {
+      cell(closed.row().cell()).closed(closed, now);
+    }
+  }
+
+  private void promise(Voter from, Heartbeat heartbeat, long now) {
+    if (!heartbeat.to().equals(context.self().incarnation())) {
+      return;
+    }
+    List<PromiseReply> replies =
+        heartbeat.requests().stream()
+            .map(request -> cell(request.cell()).promise(from, request, now))
+            .toList();
+    context.outbox().send(from.member(), new Promises(heartbeat.sentAtMillis(), replies));
   }
 
   @Override
   public Optional<CellRow> row(CellId cell) {
-    return Optional.empty();
+    return Optional.ofNullable(cells.get(cell)).flatMap(Cell::row);
   }
 
   @Override
   public boolean sealed(CellId cell, long number) {
-    return false;
+    return cells.containsKey(cell) && cells.get(cell).sealed(number);
   }
 
   @Override
   public boolean votes(CellId cell) {
-    return false;
+    return cells.containsKey(cell) && cells.get(cell).votes();
   }
 
   @Override
   public boolean leads(CellId cell, long atMillis) {
-    return false;
+    return cells.containsKey(cell) && cells.get(cell).leads(atMillis);
   }
 }
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Planner.java
@@ -0,0 +1,106 @@
+package dev.hornbeamwheel.core.ownership;
+
+import dev.hornbeamwheel.core.config.Fencing;
+import dev.hornbeamwheel.core.config.Service;
+import dev.hornbeamwheel.core.model.Epoch;
+import dev.hornbeamwheel.core.model.Slice;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.placement.Move;
+import dev.hornbeamwheel.core.placement.PlacementView;
+import dev.hornbeamwheel.core.placement.PlacementView.Target;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+
+/** Turns the moves of the placement policy into the next assignments of a cell. */
+final class Planner {
+  private final Context context;
+  private final Service service;
+
+  Planner(Context context, Service service) {
+    this.context = context;
+    this.service = service;
+  }
+
+  /**
+   * Returns the next assignments; empty if they stay as they are.
+   *
+   * @param row the row in force
+   * @param eligible upstreams that may own slices
+   * @param givenUp tells whether the previous owner of an assignment has given it up
+   */
+  Optional<Assignments> next(
+      CellRow row, List<Target> eligible, Predicate<Assignment> givenUp, long now) {
+    TreeMap<Slice, Assignment> next = new TreeMap<>();
+    row.assignments().stream().forEach(a -> next.put(a.slice(), settle(a, givenUp)));
+    if (!eligible.isEmpty()) {
+      context.policy().plan(view(row, next, eligible, now)).forEach(move -> apply(move, next));
+    }
+    Assignments packed = Assignments.of(next.values());
+    return packed.equals(row.assignments()) ? Optional.empty() : Optional.of(packed);
+  }
+
+  private static Assignment settle(Assignment assignment, Predicate<Assignment> givenUp) {
+    return assignment.previous().isPresent() && givenUp.test(assignment)
+        ? new Assignment(
+            assignment.slice(), assignment.owner(), assignment.epoch(), Optional.empty())
+        : assignment;
+  }
+
+  private PlacementView view(
+      CellRow row, Map<Slice, Assignment> assignments, List<Target> eligible, long now) {
+    Map<Slice, UpstreamId> owners = new HashMap<>();
+    assignments.forEach((slice, assignment) -> owners.put(slice, assignment.owner()));
+    List<Slice> unassigned =
+        shards(row).mapToObj(Slice::ofShard).filter(s -> !owners.containsKey(s)).toList();
+    return new PlacementView(
+        now,
+        row.cell(),
+        owners,
+        unassigned,
+        eligible,
+        context.load().of(row.cell()),
+        Map.of(),
+        service.fencing() == Fencing.CHECKED);
+  }
+
+  private IntStream shards(CellRow row) {
+    return IntStream.range(0, service.shards())
+        .filter(shard -> service.cellOf(shard) == row.cell().index());
+  }
+
+  private void apply(Move move, Map<Slice, Assignment> next) {
+    Assignment present = next.get(move.slice());
+    if (present != null) {
+      if (present.previous().isEmpty() && !present.owner().equals(move.to())) {
+        next.put(move.slice(), moved(present, move.to(), present.slice()));
+      }
+    } else if (move.slice().isolated()) {
+      isolate(move, next);
+    } else {
+      next.put(
+          move.slice(),
+          new Assignment(move.slice(), move.to(), Epoch.NONE.next(), Optional.empty()));
+    }
+  }
+
+  /**
+   * Isolates a key: its shard gets a new epoch too, so that requests of the old one are refused.
+   */
+  private void isolate(Move move, Map<Slice, Assignment> next) {
+    Assignment shard = next.get(Slice.ofShard(move.slice().shard()));
+    if (service.fencing() != Fencing.CHECKED || shard == null || shard.previous().isPresent()) {
+      return;
+    }
+    next.put(shard.slice(), moved(shard, shard.owner(), shard.slice()));
+    next.put(move.slice(), moved(shard, move.to(), move.slice()));
+  }
+
+  private static Assignment moved(Assignment from, UpstreamId to, Slice slice) {
+    return new Assignment(slice, to, from.epoch().next(), Optional.of(from.owner()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Topology.java
@@ -0,0 +1,183 @@
+package dev.hornbeamwheel.core.ownership;
+
+import dev.hornbeamwheel.core.config.Configuration;
+import dev.hornbeamwheel.core.config.DataCentre;
+import dev.hornbeamwheel.core.config.Declarations;
+import dev.hornbeamwheel.core.config.Isolation;
+import dev.hornbeamwheel.core.config.Service;
+import dev.hornbeamwheel.core.config.Upstream;
+import dev.hornbeamwheel.core.model.CellId;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/** The declared places and the live controllers, as this controller knows them. */
+final class Topology {
+  private final OwnershipOptions options;
+  private Configuration configuration = Configuration.initial();
+  private Map<DataCentreId, List<Voter>> live = Map.of();
+  private Set<Voter> alive = Set.of();
+  private Set<Voter> gone = Set.of();
+  private final Map<DataCentreId, Long> peopledSince = new HashMap<>();
+  private final Map<DataCentreId, Long> emptySince = new HashMap<>();
+  private final Map<ServiceId, Service> services = new HashMap<>();
+  private final Map<ServiceId, List<Upstream>> upstreams = new HashMap<>();
+
+  Topology(OwnershipOptions options) {
+    this.options = options;
+  }
+
+  void configure(Configuration next, long now) {
+    if (next.version() < configuration.version()) {
+      return;
+    }
+    configuration = next;
+    noteMembers(now);
+    services.clear();
+    next.declarations().services().forEach(service -> services.put(service.id(), service));
+    upstreams.clear();
+    upstreams.putAll(
+        next.declarations().upstreams().stream().collect(Collectors.groupingBy(Upstream::service)));
+  }
+
+  void members(Map<DataCentreId, List<Voter>> next, Set<Voter> nextGone, long now) {
+    live = next;
+    gone = Set.copyOf(nextGone);
+    alive = next.values().stream().flatMap(List::stream).collect(Collectors.toSet());
+    noteMembers(now);
+  }
+
+  /** Notes for each data centre since when it has had live controllers, or none. */
+  void noteMembers(long now) {
+    for (DataCentre dataCentre : declarations().dataCentres()) {
+      boolean empty = live.getOrDefault(dataCentre.id(), List.of()).isEmpty();
+      (empty ? peopledSince : emptySince).remove(dataCentre.id());
+      (empty ? emptySince : peopledSince).putIfAbsent(dataCentre.id(), now);
+    }
+  }
+
+  Declarations declarations() {
+    return configuration.declarations();
+  }
+
+  Optional<Service> service(ServiceId id) {
+    return Optional.ofNullable(services.get(id));
+  }
+
+  /** Returns the upstreams of a service in a data centre that are in service. */
+  List<Upstream> inService(ServiceId service, DataCentreId dataCentre, boolean ignoreDrain) {
+    return upstreams.getOrDefault(service, List.of()).stream()
+        .filter(upstream -> upstream.dataCentre().equals(dataCentre))
+        .filter(upstream -> ignoreDrain || !declarations().drained(upstream))
+        .toList();
+  }
+
+  boolean alive(Voter voter) {
+    return alive.contains(voter);
+  }
+
+  boolean gone(Voter voter) {
+    return gone.contains(voter);
+  }
+
+  boolean lost(DataCentreId dataCentre) {
+    return declarations().lostDataCentres().contains(dataCentre);
+  }
+
+  boolean peopled(DataCentreId dataCentre) {
+    return !live.getOrDefault(dataCentre, List.of()).isEmpty();
+  }
+
+  private boolean steadilyPeopled(DataCentreId dataCentre, long now) {
+    Long since = peopledSince.get(dataCentre);
+    return since != null && now - since >= options.settleMillis();
+  }
+
+  /**
+   * Returns whether no controller of a data centre has been live for the time after which it
+   * yields.
+   */
+  boolean yielded(Service service, DataCentreId dataCentre, long now) {
+    Long since = emptySince.get(dataCentre);
+    return service.isolation() == Isolation.YIELD
+        && since != null
+        && now - since >= options.yieldAfterMillis();
+  }
+
+  /**
+   * Returns the data centre that should be the home of a cell.
+   *
+   * @param current present home; null if the cell has none
+   */
+  Optional<DataCentreId> homeFor(Service service, CellId cell, DataCentreId current, long now) {
+    List<DataCentreId> usable =
+        declarations().dataCentres().stream()
+            .map(DataCentre::id)
+            .filter(id -> !declarations().drainedDataCentres().contains(id) && !lost(id))
+            .filter(id -> !inService(service.id(), id, false).isEmpty())
+            .toList();
+    if (current != null && usable.contains(current) && !yielded(service, current, now)) {
+      return usable.stream()
+          .filter(id -> id.equals(current) || steadilyPeopled(id, now))
+          .max(byWeight(cell, DataCentreId::value));
+    }
+    return usable.stream().filter(this::peopled).max(byWeight(cell, DataCentreId::value));
+  }
+
+  /** Returns the live controllers of a data centre, best ranked for a cell first. */
+  List<Voter> ranked(CellId cell, DataCentreId dataCentre) {
+    return sorted(cell, live.getOrDefault(dataCentre, List.of()));
+  }
+
+  /** Returns controllers, best ranked for a cell first. */
+  List<Voter> sorted(CellId cell, Collection<Voter> voters) {
+    return voters.stream().sorted(byWeight(cell, this::name).reversed()).toList();
+  }
+
+  /** Returns the best ranked live controllers of all other data centres for a cell. */
+  List<Voter> witnesses(CellId cell, DataCentreId home) {
+    return live.keySet().stream()
+        .filter(id -> !id.equals(home))
+        .sorted()
+        .flatMap(id -> ranked(cell, id).stream().limit(options.voters()))
+        .collect(Collectors.collectingAndThen(Collectors.toList(), all -> sorted(cell, all)))
+        .stream()
+        .limit(options.voters())
+        .toList();
+  }
+
+  /** Returns the voters to have: the present ones that live, filled up with the best ranked. */
+  List<Voter> idealVoters(CellId cell, DataCentreId home, List<Voter> present) {
+    Set<Voter> kept = new HashSet<>(present);
+    kept.retainAll(live.getOrDefault(home, List.of()));
+    return Stream.concat(sorted(cell, kept).stream(), ranked(cell, home).stream())
+        .distinct()
+        .limit(options.voters())
+        .toList();
+  }
+
+  private String name(Voter voter) {
+    return voter.member().value();
+  }
+
+  private static <T> Comparator<T> byWeight(CellId cell, Function<T, String> name) {
+    return Comparator.comparingLong((T item) -> weight(cell, name.apply(item))).thenComparing(name);
+  }
+
+  private static long weight(CellId cell, String name) {
+    byte[] bytes = (cell + "|" + name).getBytes(StandardCharsets.UTF_8);
+    return MurmurHash3.hash128x64(bytes)[0];
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/VoterState.java
@@ -0,0 +1,98 @@
+package dev.hornbeamwheel.core.ownership;
+
+import dev.hornbeamwheel.core.model.MemberId;
+import dev.hornbeamwheel.core.model.Term;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.PromiseReply;
+import dev.hornbeamwheel.core.ownership.OwnershipMessage.PromiseRequest;
+import java.util.Optional;
+
+/** What one controller has promised and sealed of one cell since its start. */
+final class VoterState {
+  private final Voter self;
+  private CellRow row;
+  private long sealedUpTo;
+  private Term promised = Term.NONE;
+  private Voter holder;
+  private long expiresAt;
+
+  VoterState(Voter self) {
+    this.self = self;
+  }
+
+  Optional<CellRow> row() {
+    return Optional.ofNullable(row);
+  }
+
+  Term promised() {
+    return promised;
+  }
+
+  /** Takes over a row that stands in the table; returns whether it is later than the known one. */
+  boolean learn(CellRow next) {
+    if (row != null && next.version() <= row.version()) {
+      return false;
+    }
+    if (row == null || next.number() != row.number()) {
+      promised = Term.of(next.number(), 0);
+      holder = null;
+    }
+    row = next;
+    return true;
+  }
+
+  boolean votes() {
+    return row != null && row.voters().contains(self);
+  }
+
+  boolean sealed(long number) {
+    return number <= sealedUpTo;
+  }
+
+  void seal(long number) {
+    sealedUpTo = Math.max(sealedUpTo, number);
+  }
+
+  /** Returns whether a promise to another controller is in force. */
+  boolean heldByOther(long now) {
+    return holder != null && !holder.equals(self) && now < expiresAt;
+  }
+
+  PromiseReply promise(Voter candidate, PromiseRequest request, long now, long leaseMillis) {
+    boolean granted = mayPromise(candidate, request.term(), now);
+    if (granted) {
+      promised = request.term();
+      holder = candidate;
+      expiresAt = now + leaseMillis;
+    }
+    long version = row == null ? 0 : row.version();
+    Optional<CellRow> newer = row().filter(known -> known.version() > request.rowVersion());
+    return new PromiseReply(request.cell(), request.term(), granted, promised, version, newer);
+  }
+
+  private boolean mayPromise(Voter candidate, Term term, long now) {
+    return row != null
+        && row.number() == term.number()
+        && !sealed(term.number())
+        && (votes() || row.witnesses().contains(self))
+        && (holder == null || holder.equals(candidate) || now >= expiresAt)
+        && (term.isAfter(promised) || (term.equals(promised) && candidate.equals(holder)));
+  }
+
+  /** Stores a row; returns whether this counts towards a majority under the given term. */
+  boolean store(Term term, CellRow next) {
+    learn(next);
+    return row.number() == term.number()
+        && !sealed(term.number())
+        && votes()
+        && !promised.isAfter(term);
+  }
+
+  /** Ends a promise that its holder gave up; returns whether it was in force. */
+  boolean handOver(MemberId from, Term term) {
+    if (holder == null || !holder.member().equals(from) || !promised.equals(term)) {
+      return false;
+    }
+    expiresAt = Long.MIN_VALUE;
+    return true;
+  }
+}
