--- a/router/src/main/java/dev/hornbeamwheel/router/http/RequestChecker.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/http/RequestChecker.java
@@ -27,6 +27,7 @@
   private static final long MAX_TIMEOUT_MILLIS = 600_000;
 
   private static final Pattern TOKEN_TEXT = Pattern.compile("[A-Za-z0-9._-]{1,200}");
+  private static final Pattern REQUEST_ID = Pattern.compile("[A-Za-z0-9._-]{1,128}");
   private static final String BEARER = "Bearer ";
   private static final Set<String> NON_IDEMPOTENT_METHODS = Set.of("POST", "PATCH");
 
@@ -116,7 +117,7 @@
 
   private static Optional<RequestProblem> requestIdProblem(HeaderMap headers) {
     return first(headers, CallerHeaders.REQUEST_ID)
-        .filter(id -> !TOKEN_TEXT.matcher(id).matches())
+        .filter(id -> !REQUEST_ID.matcher(id).matches())
         .map(id -> RequestProblem.BAD_REQUEST_ID);
   }
 
--- a/router/src/main/java/dev/hornbeamwheel/router/http/RequestProblem.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/http/RequestProblem.java
@@ -24,7 +24,7 @@
   /** The idempotency key is malformed. */
   BAD_IDEMPOTENCY_KEY(400, "send an Idempotency-Key of 1 to 200 letters, digits, '-', '_' or '.'"),
   /** The request id is malformed. */
-  BAD_REQUEST_ID(400, "send an Hbw-Request-Id of 1 to 200 letters, digits, '-', '_' or '.'"),
+  BAD_REQUEST_ID(400, "send an Hbw-Request-Id of 1 to 128 letters, digits, '-', '_' or '.'"),
   /** The deadline is malformed or out of range. */
   BAD_DEADLINE(400, "send Hbw-Deadline-Millis as a whole number from 1 to 600000"),
   /** The headers are too large. */
