--- a/core/src/main/java/dev/hornbeamwheel/core/limits/ArbiterEvent.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/limits/ArbiterEvent.java
@@ -24,11 +24,11 @@
       implements ArbiterEvent {}
 
   /** The row was read; it is the initial row if the table has none. */
-  record RowRead(long atMillis, SharesRow row) implements ArbiterEvent {}
+  record RowRead(long atMillis, long attempt, SharesRow row) implements ArbiterEvent {}
 
   /** The table took the write. */
-  record RowWritten(long atMillis, SharesRow row) implements ArbiterEvent {}
+  record RowWritten(long atMillis, long attempt, SharesRow row) implements ArbiterEvent {}
 
-  /** The write was refused or its answer is missing; the row must be read again. */
-  record RowUncertain(long atMillis) implements ArbiterEvent {}
+  /** The write was refused, or an answer of the table is missing. */
+  record RowUncertain(long atMillis, long attempt) implements ArbiterEvent {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/limits/LimitsMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/limits/LimitsMessage.java
@@ -15,9 +15,12 @@
    * @param group the group
    * @param incarnation the start of the router that is meant
    * @param sequence greater than that of each earlier request of this start
+   * @param applied sequence of the latest grant that the router follows; it will follow no earlier
+   *     one
    * @param claims one per contract that the router holds or wants
    */
-  record Request(int group, Incarnation incarnation, long sequence, List<Claim> claims)
+  record Request(
+      int group, Incarnation incarnation, long sequence, long applied, List<Claim> claims)
       implements LimitsMessage {
     /** Copies the list. */
     public Request {
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/virtual/package-info.java
@@ -0,0 +1,2 @@
+/** Virtual time, network and clocks for tests of reducers. */
+package dev.hornbeamwheel.core.virtual;
