Route requests on slot leases, with claims, retries, hedging and quarantine

A dispatcher per service and data centre binds free slots to the oldest waiting request; routers reuse leases until recalled, and fall back to the better of two upstreams when the dispatcher does not answer.

--- a/core/src/main/java/dev/hornbeamwheel/core/dispatch/DispatchMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/dispatch/DispatchMessage.java
@@ -54,7 +54,7 @@
    * @param leaseId number of the lease, unique to its dispatcher's incarnation
    * @param requestId the request that asked
    * @param upstream the upstream with the slot
-   * @param durationMillis time from the sending of the request after which it must not be used
+   * @param durationMillis time from its receipt after which no request may be sent on it
    * @param reusable whether further requests may use it until it is recalled
    * @param temperature what the dispatcher knows of the upstream
    */
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/dispatch/SlotKey.java
@@ -0,0 +1,7 @@
+package dev.hornbeamwheel.core.dispatch;
+
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.ServiceId;
+
+/** The slots of one service in one data centre, which one dispatcher shares out. */
+public record SlotKey(ServiceId service, DataCentreId dataCentre) {}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/dispatch/WaitingRequest.java
@@ -0,0 +1,7 @@
+package dev.hornbeamwheel.core.dispatch;
+
+import dev.hornbeamwheel.core.model.MemberId;
+
+/** A request for a slot that a dispatcher has not answered yet. */
+record WaitingRequest(
+    MemberId router, DispatchMessage.SlotRequest request, long sinceMillis, long deadlineMillis) {}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/FallbackChoice.java
@@ -0,0 +1,55 @@
+package dev.hornbeamwheel.core.routing;
+
+import dev.hornbeamwheel.core.config.ColdStart;
+import dev.hornbeamwheel.core.config.Upstream;
+import java.util.List;
+import java.util.Random;
+
+/** Chooses an upstream without a dispatcher: the better of two by this router's own requests. */
+final class FallbackChoice {
+  private final UpstreamViews views;
+  private final Topology topology;
+  private final Random random;
+
+  FallbackChoice(UpstreamViews views, Topology topology, Random random) {
+    this.views = views;
+    this.topology = topology;
+    this.random = random;
+  }
+
+  /** Returns an upstream that may be sent a request now; null if there is none. */
+  Upstream choose(long nowMillis, RequestState request, List<Upstream> pool) {
+    Upstream chosen = request.target == null ? betterOfTwo(nowMillis, request, pool) : null;
+    if (request.target != null && usable(nowMillis, topology.upstream(request.target))) {
+      chosen = topology.upstream(request.target);
+    }
+    if (chosen == null) {
+      return null;
+    }
+    ColdStart coldStart = request.service.coldStart();
+    boolean admitted = views.of(chosen.id()).takeShare(nowMillis, coldStart, topology.fleetSize());
+    return admitted ? chosen : null;
+  }
+
+  private Upstream betterOfTwo(long nowMillis, RequestState request, List<Upstream> pool) {
+    List<Upstream> usable =
+        pool.stream()
+            .filter(upstream -> !request.avoid.contains(upstream.id()))
+            .filter(upstream -> usable(nowMillis, upstream))
+            .toList();
+    if (usable.isEmpty()) {
+      return null;
+    }
+    Upstream one = usable.get(random.nextInt(usable.size()));
+    Upstream other = usable.get(random.nextInt(usable.size()));
+    return views.of(one.id()).inFlight <= views.of(other.id()).inFlight ? one : other;
+  }
+
+  private boolean usable(long nowMillis, Upstream upstream) {
+    if (upstream == null) {
+      return false;
+    }
+    UpstreamView view = views.of(upstream.id());
+    return view.inFlight < upstream.slots() && !view.paused(nowMillis);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/RequestState.java
@@ -0,0 +1,85 @@
+package dev.hornbeamwheel.core.routing;
+
+import dev.hornbeamwheel.core.claims.Claimant;
+import dev.hornbeamwheel.core.config.Service;
+import dev.hornbeamwheel.core.model.RequestId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request from its arrival to its end. */
+final class RequestState {
+  /** What a request waits for. */
+  enum Phase {
+    CLAIMING,
+    WAITING_FOR_OWNER,
+    BACKING_OFF,
+    WAITING_FOR_SLOT,
+    RUNNING,
+    ENDED
+  }
+
+  final RoutingEvent.RequestArrived arrival;
+  final Service service;
+  final long keyHash;
+  final int shard;
+  final List<Attempt> running = new ArrayList<>(2);
+  final List<UpstreamId> avoid = new ArrayList<>(2);
+  Phase phase = Phase.WAITING_FOR_OWNER;
+  Claimant claimant;
+  long claimSentAtMillis;
+  int attempts;
+  int slotRequests;
+  int backOffs;
+  long resumeAtMillis;
+  UpstreamId target;
+  long epoch;
+  long isolatedKeyHash;
+  boolean mayHaveRun;
+  boolean callerGone;
+  boolean refreshed;
+  boolean hedging;
+  Attempt winner;
+  boolean streaming;
+  long resumeOffset;
+  String validator;
+  SlotPool pool;
+  RequestId ticket;
+  long ticketAtMillis;
+
+  RequestState(RoutingEvent.RequestArrived arrival, Service service, long keyHash, int shard) {
+    this.arrival = arrival;
+    this.service = service;
+    this.keyHash = keyHash;
+    this.shard = shard;
+  }
+
+  RequestId id() {
+    return arrival.requestId();
+  }
+
+  long deadlineMillis() {
+    return arrival.deadlineMillis();
+  }
+
+  boolean idempotent() {
+    return arrival.idempotent();
+  }
+
+  Attempt attempt(int number) {
+    for (Attempt attempt : running) {
+      if (attempt.number == number) {
+        return attempt;
+      }
+    }
+    return null;
+  }
+
+  /** Returns a new id under which to ask for a slot, so that late answers to earlier ones show. */
+  RequestId nextTicket(long nowMillis) {
+    slotRequests++;
+    ticket = slotRequests == 1 ? id() : RequestId.of(id() + "#" + slotRequests);
+    ticketAtMillis = nowMillis;
+    return ticket;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/UpstreamViews.java
@@ -0,0 +1,41 @@
+package dev.hornbeamwheel.core.routing;
+
+import dev.hornbeamwheel.core.config.Upstream;
+import dev.hornbeamwheel.core.dispatch.Temperature;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** This router's views of all upstreams that it has dealt with. */
+final class UpstreamViews {
+  private final Map<UpstreamId, UpstreamView> views = new HashMap<>();
+
+  UpstreamView of(UpstreamId upstream) {
+    return views.computeIfAbsent(upstream, UpstreamView::new);
+  }
+
+  void merge(long nowMillis, List<Temperature> temperatures) {
+    temperatures.forEach(t -> of(t.upstream()).merge(nowMillis, t));
+  }
+
+  /** Returns the temperatures of some upstreams. */
+  List<Temperature> temperatures(List<Upstream> upstreams, Predicate<UpstreamView> wanted) {
+    return upstreams.stream()
+        .map(upstream -> of(upstream.id()))
+        .filter(wanted)
+        .map(UpstreamView::temperature)
+        .toList();
+  }
+
+  /** Returns whether any of some upstreams is not known to be warm. */
+  boolean anyCold(List<Upstream> upstreams) {
+    for (Upstream upstream : upstreams) {
+      if (!of(upstream.id()).temperature().warm()) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/FakeUpstream.java
@@ -0,0 +1,129 @@
+package dev.hornbeamwheel.core.routing;
+
+import dev.hornbeamwheel.core.config.Upstream;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** An upstream with slots that sheds, freezes, crashes and answers badly to order. */
+final class FakeUpstream {
+  /** How an answer goes wrong. */
+  enum Misbehaviour {
+    NONE,
+    FOREIGN,
+    SHORT,
+    SHORT_WITHOUT_VALIDATOR,
+    LOST
+  }
+
+  /** What the process that called learns of its call. */
+  record Reply(long incarnation, boolean started, AttemptOutcome outcome) {}
+
+  private static final long RESTART_MILLIS = 400;
+
+  final Upstream declared;
+  private final VirtualTime time;
+  private final Ledger ledger;
+  private final Random random;
+  private final Set<Long> poison;
+  private final Map<Object, Consumer<Reply>> running = new HashMap<>();
+  final Set<String> ownedKeys = new HashSet<>();
+  long incarnation = 1;
+  boolean down;
+  long frozenUntilMillis;
+  Misbehaviour next = Misbehaviour.NONE;
+
+  FakeUpstream(
+      Upstream declared, VirtualTime time, Ledger ledger, Random random, Set<Long> poison) {
+    this.declared = declared;
+    this.time = time;
+    this.ledger = ledger;
+    this.random = random;
+    this.poison = poison;
+    started();
+  }
+
+  void call(
+      RoutingEffect.CallUpstream call, RoutingEvent.RequestArrived request, Consumer<Reply> reply) {
+    if (down) {
+      reply.accept(new Reply(0, false, new AttemptOutcome.FailedBeforeSend()));
+      return;
+    }
+    if (running.size() >= declared.slots()) {
+      reply.accept(new Reply(incarnation, false, new AttemptOutcome.Refused(Refusal.SHED)));
+      return;
+    }
+    ledger.runs.add(
+        new Ledger.Run(
+            call.requestId(),
+            request.idempotencyKey(),
+            request.fingerprint(),
+            declared.id(),
+            time.now()));
+    Object token = new Object();
+    running.put(token, reply);
+    long frozen = Math.max(0, frozenUntilMillis - time.now());
+    if (poison.contains(request.fingerprint())) {
+      time.after(frozen + 3, () -> crash(request.fingerprint(), token));
+    } else {
+      time.after(frozen + 5 + random.nextInt(20), () -> complete(call, token));
+    }
+  }
+
+  void crash() {
+    if (down) {
+      return;
+    }
+    down = true;
+    running.values().forEach(r -> r.accept(lost()));
+    running.clear();
+    time.after(RESTART_MILLIS, this::started);
+  }
+
+  private void crash(long fingerprint, Object token) {
+    if (running.containsKey(token)) {
+      ledger.crashedBy.computeIfAbsent(fingerprint, f -> new HashSet<>()).add(declared.id());
+      crash();
+    }
+  }
+
+  private void started() {
+    down = false;
+    incarnation += 1;
+    ledger
+        .starts
+        .computeIfAbsent(declared.id(), u -> new java.util.ArrayList<>())
+        .add(new Ledger.Start(time.now()));
+  }
+
+  private void complete(RoutingEffect.CallUpstream call, Object token) {
+    Consumer<Reply> reply = running.remove(token);
+    if (reply == null) {
+      return;
+    }
+    var starts = ledger.starts.get(declared.id());
+    Ledger.Start latest = starts.get(starts.size() - 1);
+    latest.firstCompletionMillis = Math.min(latest.firstCompletionMillis, time.now());
+    Misbehaviour how = next;
+    next = Misbehaviour.NONE;
+    long half = Math.max(call.resumeOffset(), Ledger.WHOLE / 2);
+    switch (how) {
+      case FOREIGN -> reply.accept(new Reply(0, false, new AttemptOutcome.ForeignAnswer()));
+      case LOST -> reply.accept(lost());
+      case SHORT ->
+          reply.accept(
+              new Reply(incarnation, true, new AttemptOutcome.ShortAnswer(half, "v1", false)));
+      case SHORT_WITHOUT_VALIDATOR ->
+          reply.accept(
+              new Reply(incarnation, true, new AttemptOutcome.ShortAnswer(half, null, true)));
+      default -> reply.accept(new Reply(incarnation, true, new AttemptOutcome.Completed(200)));
+    }
+  }
+
+  private static Reply lost() {
+    return new Reply(0, false, new AttemptOutcome.ConnectionLost());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/Ledger.java
@@ -0,0 +1,135 @@
+package dev.hornbeamwheel.core.routing;
+
+import dev.hornbeamwheel.core.config.ColdStart;
+import dev.hornbeamwheel.core.model.IdempotencyKey;
+import dev.hornbeamwheel.core.model.RequestId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What upstreams ran and what callers were told; every oracle judges only this. */
+final class Ledger {
+  /** Bytes of a whole answer. */
+  static final long WHOLE = 100;
+
+  record Run(
+      RequestId request,
+      IdempotencyKey key,
+      long fingerprint,
+      UpstreamId upstream,
+      long atMillis) {}
+
+  record Told(RoutingEffect.Answer answer, long deliveredBytes, long atMillis) {}
+
+  /** One start of an upstream: the time from which it is cold, and its first completion. */
+  static final class Start {
+    final long atMillis;
+    long firstCompletionMillis = Long.MAX_VALUE;
+
+    Start(long atMillis) {
+      this.atMillis = atMillis;
+    }
+  }
+
+  final List<Run> runs = new ArrayList<>();
+  final Map<RequestId, Told> told = new HashMap<>();
+  final Set<RequestId> nonIdempotent = new HashSet<>();
+  final Map<UpstreamId, List<Start>> starts = new HashMap<>();
+  final Map<UpstreamId, Long> drainedAt = new HashMap<>();
+  final Map<Long, Set<UpstreamId>> crashedBy = new HashMap<>();
+  final List<String> cutByStop = new ArrayList<>();
+  final List<String> violations = new ArrayList<>();
+
+  void told(RoutingEffect.Answer answer, long deliveredBytes, long nowMillis) {
+    if (told.put(answer.requestId(), new Told(answer, deliveredBytes, nowMillis)) != null) {
+      violations.add("answered twice: " + answer.requestId());
+    }
+  }
+
+  List<String> untrueNotRun() {
+    return runs.stream()
+        .filter(run -> told.containsKey(run.request))
+        .filter(run -> told.get(run.request).answer.outcome() == Outcome.NOT_RUN)
+        .map(run -> "told not run, but ran: " + run + " " + told.get(run.request))
+        .toList();
+  }
+
+  List<String> ranTwice() {
+    Map<Object, Integer> count = new HashMap<>();
+    runs.stream()
+        .filter(run -> nonIdempotent.contains(run.request))
+        .forEach(run -> count.merge(run.key == null ? run.request : run.key, 1, Integer::sum));
+    return count.entrySet().stream()
+        .filter(e -> e.getValue() > 1)
+        .map(e -> "ran " + e.getValue() + " times: " + e.getKey())
+        .toList();
+  }
+
+  List<String> partialAnswers() {
+    return told.values().stream()
+        .filter(t -> t.answer.problem() == ProblemKind.NONE && t.deliveredBytes != WHOLE)
+        .map(t -> "not the whole answer: " + t)
+        .toList();
+  }
+
+  List<String> overloadedColdUpstreams(ColdStart bears, int slots) {
+    List<String> found = new ArrayList<>();
+    starts.forEach(
+        (upstream, times) -> {
+          for (int i = 0; i < times.size(); i++) {
+            long end = i + 1 < times.size() ? times.get(i + 1).atMillis : Long.MAX_VALUE;
+            judge(upstream, times.get(i), end, bears, slots, found);
+          }
+        });
+    return found;
+  }
+
+  /** In each second from a run on, at most what is borne at its end, and one more per slot. */
+  private void judge(
+      UpstreamId upstream, Start start, long end, ColdStart bears, int slots, List<String> found) {
+    long[] at =
+        runs.stream()
+            .filter(r -> r.upstream.equals(upstream))
+            .mapToLong(Run::atMillis)
+            .filter(t -> t >= start.atMillis && t < end)
+            .toArray();
+    for (int first = 0, last = 0; first < at.length; first++) {
+      while (last < at.length && at[last] < at[first] + 1_000) {
+        last++;
+      }
+      double most = rate(start, bears, at[first] + 1_000) + slots + 1;
+      if (last - first > most) {
+        found.add(upstream + " ran " + (last - first) + " > " + most + " from " + at[first]);
+        return;
+      }
+    }
+  }
+
+  private static double rate(Start start, ColdStart bears, long atMillis) {
+    if (atMillis <= start.firstCompletionMillis) {
+      return bears.initialRatePerSecond();
+    }
+    double warmth = (double) (atMillis - start.firstCompletionMillis) / bears.warmUpMillis();
+    double span = bears.fullRatePerSecond() - bears.initialRatePerSecond();
+    return warmth >= 1 ? Double.MAX_VALUE : bears.initialRatePerSecond() + span * warmth;
+  }
+
+  List<String> workAfterDrain(long graceMillis) {
+    return runs.stream()
+        .filter(run -> drainedAt.containsKey(run.upstream))
+        .filter(run -> run.atMillis > drainedAt.get(run.upstream) + graceMillis)
+        .map(run -> "new work after drain: " + run)
+        .toList();
+  }
+
+  List<String> crashedMany(int most) {
+    return crashedBy.entrySet().stream()
+        .filter(e -> e.getValue().size() > most)
+        .map(e -> "request " + e.getKey() + " crashed " + e.getValue())
+        .toList();
+  }
+}
