--- a/router/src/main/java/dev/hornbeamwheel/router/RouterSettings.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/RouterSettings.java
@@ -3,9 +3,9 @@
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.core.model.MemberId;
+import dev.hornbeamwheel.runtime.member.SocketAddresses;
 import dev.hornbeamwheel.runtime.settings.SettingsObject;
 import java.net.InetSocketAddress;
-import java.net.URI;
 
 /**
  * Settings of the router.
@@ -16,7 +16,7 @@
  * @param callerAddress where callers send their requests
  * @param peerAddress where other members send messages
  * @param operatorAddress where operators read metrics and status
- * @param platform base of the platform's services
+ * @param platform IP number and port of the platform
  * @param maxBodyBytes greatest body of a request
  * @param maxInFlight attempts in flight at once
  * @param decisionLogOneIn writes one decision in so many; one writes each
@@ -28,7 +28,7 @@
     InetSocketAddress callerAddress,
     InetSocketAddress peerAddress,
     InetSocketAddress operatorAddress,
-    URI platform,
+    String platform,
     int maxBodyBytes,
     int maxInFlight,
     int decisionLogOneIn) {
@@ -46,7 +46,7 @@
         document.address("callerAddress"),
         document.address("peerAddress"),
         document.address("operatorAddress"),
-        document.uri("platform"),
+        SocketAddresses.format(document.address("platform")),
         document.integer("maxBodyBytes", 1, LARGEST_BODY_BYTES, DEFAULT_BODY_BYTES),
         document.integer("maxInFlight", 1, LARGEST_IN_FLIGHT, DEFAULT_IN_FLIGHT),
         document.integer("decisionLogOneIn", 1, Integer.MAX_VALUE, 1));
--- a/router/src/main/java/dev/hornbeamwheel/router/flow/RequestFlow.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/flow/RequestFlow.java
@@ -12,6 +12,7 @@
 import dev.hornbeamwheel.core.routing.RoutingEvent;
 import dev.hornbeamwheel.core.time.Clock;
 import dev.hornbeamwheel.router.http.CallerExchange;
+import dev.hornbeamwheel.router.http.RequestProblem;
 import dev.hornbeamwheel.router.upstream.AttemptSpec;
 import dev.hornbeamwheel.router.upstream.UpstreamClient;
 import java.util.HashMap;
@@ -105,6 +106,14 @@
     return Optional.of(caller);
   }
 
+  /** Refuses a request whose contract's limit is reached. */
+  public void limitReached(RequestId requestId, long retryAfterMillis) {
+    InFlightRequest request = requests.remove(requestId);
+    if (request != null) {
+      request.caller().refuse(RequestProblem.LIMIT_REACHED, retryAfterMillis);
+    }
+  }
+
   private static AttemptSpec spec(
       RoutingEffect.CallUpstream call,
       CallerExchange caller,
