--- a/core/src/main/java/dev/hornbeamwheel/core/node/ArbiterPart.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/node/ArbiterPart.java
@@ -17,6 +17,9 @@
 
 /** The arbiters of all groups of contracts in a data centre, of which those that lead act. */
 final class ArbiterPart {
+  /** Longest time that a request of a lost router stays in flight, in milliseconds. */
+  private static final long REQUEST_LIFETIME_MILLIS = 5_000;
+
   private final DataCentreId dataCentre;
   private final VoterView votes;
   private final List<LimitsArbiter> arbiters;
@@ -29,7 +32,7 @@
     this.out = out;
     this.arbiters =
         IntStream.range(0, ContractGroups.COUNT)
-            .mapToObj(group -> LimitsArbiter.of(dataCentre, group))
+            .mapToObj(group -> LimitsArbiter.of(dataCentre, group, REQUEST_LIFETIME_MILLIS))
             .toList();
   }
 
--- a/wire/src/main/java/dev/hornbeamwheel/wire/LimitsMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/LimitsMapping.java
@@ -21,7 +21,8 @@
       LimitsBody.Request.Builder proto =
           body.getRequestBuilder()
               .setIncarnation(request.incarnation().value())
-              .setSequence(request.sequence());
+              .setSequence(request.sequence())
+              .setApplied(request.applied());
       request
           .claims()
           .forEach(
@@ -59,6 +60,7 @@
         group,
         Incarnation.of(proto.getIncarnation()),
         proto.getSequence(),
+        proto.getApplied(),
         proto.getClaimsList().stream()
             .map(
                 claim ->
--- a/wire/src/test/java/dev/hornbeamwheel/wire/NettyPeerTransportTest.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/NettyPeerTransportTest.java
@@ -99,7 +99,8 @@
   @Test
   void sendsWhatIsLargerThanTheBufferOfAConnection() throws InterruptedException {
     a.addressKnown(B, b.address());
-    LimitsMessage.Request request = new LimitsMessage.Request(0, Incarnation.of(1), 1, List.of());
+    LimitsMessage.Request request =
+        new LimitsMessage.Request(0, Incarnation.of(1), 1, 0, List.of());
     for (int i = 0; i < SendQueue.MAX_FRAMES; i++) {
       a.send(B, new PeerMessage.Limits(request));
     }
