--- a/core/src/main/java/dev/hornbeamwheel/core/node/ArbiterPart.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/node/ArbiterPart.java
@@ -18,7 +18,7 @@
 /** The arbiters of all groups of contracts in a data centre, of which those that lead act. */
 final class ArbiterPart {
   /** Longest time that a request of a lost router stays in flight, in milliseconds. */
-  private static final long REQUEST_LIFETIME_MILLIS = 60_000;
+  private static final long REQUEST_LIFETIME_MILLIS = 5_000;
 
   private final DataCentreId dataCentre;
   private final VoterView votes;
