--- a/core/src/test/java/dev/hornbeamwheel/core/routing/FakeNetwork.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/FakeNetwork.java
@@ -24,6 +24,10 @@
     time.after(millis, () -> cut.remove(member));
   }
 
+  boolean isCut(MemberId member) {
+    return cut.contains(member);
+  }
+
   void deliver(MemberId from, MemberId to, Runnable arrival) {
     boolean lost = cut.contains(from) || cut.contains(to) || random.nextDouble() < dropShare;
     if (lost) {
