Fuzz the routing reducer and show that each oracle catches a broken variant

150 chains of 40 drawn actions with seed 4711 and directed scenarios with 12 seeds find nothing in the sound reducer; each of seven broken variants and a skipped ramp is caught.

--- a/core/src/main/java/dev/hornbeamwheel/core/routing/AttemptFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/AttemptFlow.java
@@ -134,8 +134,7 @@
   }
 
   private boolean usable(long nowMillis, RequestState request, HeldSlot slot) {
-    boolean takesWork = context.takesWork(slot.upstream) || faults == RoutingFaults.IGNORE_DRAIN;
-    return takesWork
+    return context.takesWork(slot.upstream)
         && nowMillis < request.deadlineMillis()
         && flow.stillOwned(request)
         && !context.quarantine().contains(request.arrival.fingerprint());
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingContext.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingContext.java
@@ -21,10 +21,10 @@
   private final Outbox outbox = new Outbox();
   private final Deque<DispatchMessage> toSelf = new ArrayDeque<>();
 
-  RoutingContext(RoutingSettings settings, long nowMillis) {
+  RoutingContext(RoutingSettings settings, long nowMillis, RoutingFaults faults) {
     this.settings = settings;
     this.startedAtMillis = nowMillis;
-    this.topology = new Topology(settings);
+    this.topology = new Topology(settings, faults);
     this.random = new Random(settings.seed());
     this.fallback = new FallbackChoice(views, topology, random);
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingReducer.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingReducer.java
@@ -52,7 +52,7 @@
   @Override
   public List<RoutingEffect> reduce(RoutingEvent event) {
     if (context == null) {
-      context = new RoutingContext(settings, event.atMillis());
+      context = new RoutingContext(settings, event.atMillis(), faults);
       flow = new RequestFlow(context, faults);
       roles = new DispatcherRoles(context, policy);
     }
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/Topology.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/Topology.java
@@ -25,6 +25,7 @@
   private record LastSeen(DataCentreId dataCentre, long atMillis) {}
 
   private final RoutingSettings settings;
+  private final RoutingFaults faults;
   private final Map<ServiceId, Service> services = new HashMap<>();
   private final Map<UpstreamId, Upstream> live = new HashMap<>();
   private final Map<SlotKey, List<Upstream>> pools = new HashMap<>();
@@ -34,7 +35,8 @@
   private List<Peer> routers = List.of();
   private long version = -1;
 
-  Topology(RoutingSettings settings) {
+  Topology(RoutingSettings settings, RoutingFaults faults) {
+    this.faults = faults;
     this.settings = settings;
   }
 
@@ -51,7 +53,7 @@
     Declarations declarations = configuration.declarations();
     declarations.services().forEach(service -> services.put(service.id(), service));
     declarations.upstreams().stream()
-        .filter(upstream -> !declarations.drained(upstream))
+        .filter(u -> !declarations.drained(u) || faults == RoutingFaults.IGNORE_DRAIN)
         .forEach(this::add);
     return true;
   }
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/FaultyWorld.java
@@ -0,0 +1,174 @@
+package dev.hornbeamwheel.core.routing;
+
+import dev.hornbeamwheel.core.config.ColdStart;
+import dev.hornbeamwheel.core.model.IdempotencyKey;
+import dev.hornbeamwheel.core.model.Key;
+import dev.hornbeamwheel.core.model.RequestId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/** A world with the requests and faults that the fuzz test draws, and its verdict. */
+final class FaultyWorld extends RoutingWorld {
+  FaultyWorld(long seed, RoutingFaults faults, ColdStart believed) {
+    super(seed, faults, believed);
+  }
+
+  /** Sends a pooled lookup, or one with a given fingerprint. */
+  RequestId lookup(long fingerprint) {
+    return request(Catalogue.POOLED, null, true, null, fingerprint);
+  }
+
+  RequestId keyed(String key) {
+    return request(Catalogue.KEYED, Key.of(key), true, null, random.nextLong());
+  }
+
+  RequestId order(String idempotencyKey, ServiceId service) {
+    Key key = service.equals(Catalogue.KEYED) ? Key.of("mill-1") : null;
+    return request(service, key, false, IdempotencyKey.of(idempotencyKey), 7);
+  }
+
+  void lookups(int count) {
+    IntStream.range(0, count).forEach(i -> lookup(random.nextLong()));
+  }
+
+  /** Sends an order, and often the same one again. */
+  void orders(int number) {
+    ServiceId service = number % 2 == 0 ? Catalogue.POOLED : Catalogue.KEYED;
+    order("order-" + number, service);
+    time.after(random.nextInt(60), () -> order("order-" + number, service));
+    time.after(random.nextInt(3_000), () -> order("order-" + number, service));
+  }
+
+  /** Sends a request that crashes whoever runs it, and again each second. */
+  void resendPoison(int number) {
+    long fingerprint = 1_000_000L + number;
+    if (poison.add(fingerprint)) {
+      IntStream.range(0, 6).forEach(i -> time.after(i * 1_000L, () -> lookup(fingerprint)));
+    }
+  }
+
+  void misbehave(int how) {
+    anyUpstream().next = List.of(FakeUpstream.Misbehaviour.values()).get(how);
+  }
+
+  /** Makes the network drop and double messages and delay them. */
+  void disturbNetwork(int strength) {
+    network.dropShare = strength * 0.05;
+    network.doubleShare = strength * 0.05;
+    network.jitterMillis = 2 + 10 * strength;
+  }
+
+  void heal() {
+    disturbNetwork(0);
+  }
+
+  List<String> violations() {
+    List<String> found = new ArrayList<>(ledger.violations);
+    found.addAll(ledger.untrueNotRun());
+    found.addAll(ledger.ranTwice());
+    found.addAll(ledger.partialAnswers());
+    found.addAll(ledger.overloadedColdUpstreams(BEARS, Catalogue.SLOTS));
+    found.addAll(ledger.workAfterDrain(3_000));
+    found.addAll(ledger.ranAfterTwoCrashes(1_000));
+    found.addAll(ledger.cutByStop);
+    return found;
+  }
+
+  RequestId orderWithoutKey() {
+    return request(Catalogue.POOLED, null, false, null, random.nextLong());
+  }
+
+  private RequestId request(
+      ServiceId service, Key key, boolean idempotent, IdempotencyKey once, long fingerprint) {
+    RequestId id = RequestId.of("r" + nextRequest++);
+    if (!idempotent) {
+      ledger.nonIdempotent.add(id);
+    }
+    List<RouterProcess> live = routers.stream().filter(r -> r.alive).toList();
+    RouterProcess router = live.get(random.nextInt(live.size()));
+    boolean early = !router.stopping;
+    router.feed(
+        now -> {
+          RoutingEvent.RequestArrived arrived =
+              new RoutingEvent.RequestArrived(
+                  now, id, MILL, service, key, idempotent, once, fingerprint, now + 1_500);
+          router.requests.put(id, arrived);
+          if (early) {
+            router.open.put(id.value(), true);
+          }
+          return arrived;
+        });
+    return id;
+  }
+
+  void crashUpstream() {
+    anyUpstream().crash();
+  }
+
+  void freezeUpstream(long millis) {
+    anyUpstream().frozenUntilMillis = time.now() + millis;
+  }
+
+  void freezeRouter(long millis) {
+    routers.get(random.nextInt(ROUTERS)).frozenUntil = time.now() + millis;
+  }
+
+  /** Kills a router; another takes its place, and the others learn of it after a while. */
+  void replaceRouter() {
+    RouterProcess lost = routers.get(random.nextInt(ROUTERS));
+    lost.alive = false;
+    time.after(300, this::membersChanged);
+    time.after(
+        900,
+        () -> {
+          lost.start();
+          configure(lost, catalogue.configuration());
+          membersChanged();
+          publishRow(lost);
+        });
+  }
+
+  void cutRouter(long millis) {
+    network.cut(routers.get(random.nextInt(ROUTERS)).id, millis);
+  }
+
+  void cutVoter(long millis) {
+    network.cut(voters.get(random.nextInt(voters.size())).voter.member(), millis);
+  }
+
+  /** Loses a voter and puts another in its place under a new term number. */
+  void replaceVoter() {
+    FakeVoter lost = voters.remove(random.nextInt(voters.size()));
+    time.after(200, () -> lost.alive = false);
+    voters.add(newVoter());
+    newTerm(voters);
+  }
+
+  void drainUpstream() {
+    UpstreamId upstream = anyUpstreamId();
+    if (catalogue.drained.size() < 3 && !catalogue.drained.contains(upstream)) {
+      ledger.drainedAt.put(upstream, time.now());
+      catalogue.drain(upstream);
+      configure();
+      routers.forEach(this::publishRow);
+    }
+  }
+
+  /** Moves the keys to other owners. */
+  void moveKeys() {
+    catalogue.moveKeys();
+    routers.forEach(this::publishRow);
+  }
+
+  /** Stops a router as planned; it ends once it says so. */
+  void stopRouter() {
+    RouterProcess router = routers.get(random.nextInt(ROUTERS));
+    if (router.alive && !router.stopping) {
+      router.stopping = true;
+      router.feed(RoutingEvent.Stopping::new);
+    }
+  }
+}
--- a/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingFuzzTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingFuzzTest.java
@@ -3,11 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.hornbeamwheel.core.config.ColdStart;
+import java.util.Random;
+import java.util.stream.IntStream;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.RandomGenerator;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.state.Action;
 import net.jqwik.api.state.ActionChain;
@@ -16,40 +20,53 @@
 /**
  * Draws faults singly, together and again, and checks each promise at the end.
  *
- * <p>More tries: {@code mvn -o -pl core test -Dtest=RoutingFuzzTest -Djqwik.tries.default=...} runs
- * with the seed given by {@code -Dfuzz.seed}.
+ * <p>More tries: {@code mvn -o -pl core test -Dtest=RoutingFuzzTest -Dfuzz.seed=7
+ * -Dfuzz.tries=2000}.
  */
 final class RoutingFuzzTest {
   private static final String SEED = "4711";
   private static final int TRIES = 150;
+  private static final int LONGER_TRIES = 10_000;
   private static final int ACTIONS = 40;
   private static final long SETTLE_MILLIS = 6_000;
 
   @Property(tries = TRIES, seed = SEED, shrinking = ShrinkingMode.BOUNDED)
-  void keepsEveryPromiseUnderFaults(@ForAll("chains") ActionChain<RoutingWorld> chain) {
-    RoutingWorld world = chain.run();
+  void keepsEveryPromiseUnderFaults(@ForAll("chains") ActionChain<FaultyWorld> chain) {
+    check(chain);
+  }
+
+  @Example
+  void keepsEveryPromiseInLongerRuns() {
+    Random random = new Random(Long.getLong("fuzz.seed", 1));
+    RandomGenerator<ActionChain<FaultyWorld>> generator = chains().generator(LONGER_TRIES);
+    int tries = Integer.getInteger("fuzz.tries", 1);
+    IntStream.range(0, tries).forEach(i -> check(generator.next(random).value()));
+  }
+
+  private static void check(ActionChain<FaultyWorld> chain) {
+    FaultyWorld world = chain.run();
     world.heal();
     world.advance(SETTLE_MILLIS);
-    assertThat(world.violations()).isEmpty();
+    assertThat(world.violations()).as("%s", chain.transformations()).isEmpty();
     assertThat(world.unanswered()).isZero();
   }
 
   @Provide
-  Arbitrary<ActionChain<RoutingWorld>> chains() {
+  Arbitrary<ActionChain<FaultyWorld>> chains() {
     Arbitrary<Long> seeds = Arbitraries.longs().between(1, 1_000_000);
     return seeds.flatMap(seed -> chains(seed, RoutingFaults.NONE, RoutingWorld.BEARS));
   }
 
-  static Arbitrary<ActionChain<RoutingWorld>> chains(
+  static Arbitrary<ActionChain<FaultyWorld>> chains(
       long seed, RoutingFaults faults, ColdStart believed) {
-    return ActionChain.startWith(() -> new RoutingWorld(seed, faults, believed))
+    return ActionChain.startWith(() -> new FaultyWorld(seed, faults, believed))
         .withAction(6, step("advance", 1, 200, (w, n) -> w.advance(n)))
-        .withAction(6, step("lookups", 1, 20, RoutingWorld::lookups))
+        .withAction(6, step("lookups", 1, 20, FaultyWorld::lookups))
         .withAction(4, step("keyed", 0, 9, (w, n) -> w.keyed("mill-" + n)))
-        .withAction(4, step("orders", 0, 9, RoutingWorld::orders))
+        .withAction(4, step("orders", 0, 9, FaultyWorld::orders))
         .withAction(1, step("orderWithoutKey", 0, 9, (w, n) -> w.orderWithoutKey()))
-        .withAction(1, step("poison", 0, 2, RoutingWorld::resendPoison))
-        .withAction(2, step("misbehave", 1, 4, RoutingWorld::misbehave))
+        .withAction(1, step("poison", 0, 2, FaultyWorld::resendPoison))
+        .withAction(2, step("misbehave", 1, 4, FaultyWorld::misbehave))
         .withAction(1, step("crash", 0, 0, (w, n) -> w.crashUpstream()))
         .withAction(1, step("freeze upstream", 50, 1_500, (w, n) -> w.freezeUpstream(n)))
         .withAction(1, step("freeze router", 50, 1_500, (w, n) -> w.freezeRouter(n)))
@@ -60,16 +77,15 @@
         .withAction(1, step("drain", 0, 0, (w, n) -> w.drainUpstream()))
         .withAction(1, step("move keys", 0, 0, (w, n) -> w.moveKeys()))
         .withAction(1, step("stop router", 0, 0, (w, n) -> w.stopRouter()))
-        .withAction(1, step("network", 0, 5, RoutingWorld::disturbNetwork))
+        .withAction(1, step("network", 0, 5, FaultyWorld::disturbNetwork))
         .withMaxTransformations(ACTIONS);
   }
 
   private interface Step {
-    void apply(RoutingWorld world, int number);
+    void apply(FaultyWorld world, int number);
   }
 
-  private static Action.Independent<RoutingWorld> step(
-      String name, int least, int most, Step step) {
+  private static Action.Independent<FaultyWorld> step(String name, int least, int most, Step step) {
     return () ->
         Arbitraries.integers()
             .between(least, most)
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingOraclesTest.java
@@ -0,0 +1,80 @@
+package dev.hornbeamwheel.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.config.ColdStart;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Shows that each oracle catches a reducer that is broken on purpose. */
+final class RoutingOraclesTest {
+  private static final int SEEDS = 12;
+  private static final ColdStart UNLIMITED = new ColdStart(10_000, 10_000, 1);
+
+  @ParameterizedTest
+  @CsvSource({
+    "RETRY_AFTER_BYTES_SENT, ran 2 times",
+    "RUN_BEFORE_MAJORITY, ran 1",
+    "CLAIM_NOT_RUN, told not run",
+    "PASS_SHORT_ANSWERS, not the whole answer",
+    "IGNORE_DRAIN, new work after drain",
+    "NO_QUARANTINE, ran after two crashes",
+    "CUT_AT_STOP, cut by stop"
+  })
+  void catchBrokenReducer(RoutingFaults fault, String violation) {
+    assertThat(violations(fault, RoutingWorld.BEARS)).anyMatch(v -> v.startsWith(violation));
+  }
+
+  @Test
+  void catchSkippedRamp() {
+    assertThat(violations(RoutingFaults.NONE, UNLIMITED)).anyMatch(v -> v.contains(" > "));
+  }
+
+  @Test
+  void findNothingInSoundReducer() {
+    assertThat(violations(RoutingFaults.NONE, RoutingWorld.BEARS)).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void crashingRequestTakesAtMostTwoUpstreamsWithoutOtherFaults(long seed) {
+    FaultyWorld world = new FaultyWorld(seed, RoutingFaults.NONE, RoutingWorld.BEARS);
+    world.advance(1_000);
+    world.resendPoison(0);
+    world.advance(8_000);
+    assertThat(world.ledger.crashedBy.values()).allMatch(crashed -> crashed.size() <= 2);
+    assertThat(world.ledger.runs).hasSizeBetween(1, 2);
+  }
+
+  private static List<String> violations(RoutingFaults fault, ColdStart believed) {
+    List<String> found = new ArrayList<>();
+    IntStream.range(0, SEEDS).forEach(seed -> found.addAll(exercise(seed, fault, believed)));
+    return found;
+  }
+
+  private static List<String> exercise(long seed, RoutingFaults fault, ColdStart believed) {
+    FaultyWorld world = new FaultyWorld(seed, fault, believed);
+    world.advance(1_000);
+    world.lookups(100);
+    world.resendPoison(0);
+    world.drainUpstream();
+    for (int round = 0; round < 60; round++) {
+      world.lookups(8);
+      world.keyed("mill-" + round % 10);
+      world.orders(round % 10);
+      world.orderWithoutKey();
+      world.misbehave(1 + round % 4);
+      if (round % 20 == 7) {
+        world.stopRouter();
+      }
+      world.advance(100);
+    }
+    world.advance(6_000);
+    return world.violations();
+  }
+}
--- a/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingReducerTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingReducerTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 final class RoutingReducerTest {
-  private final RoutingWorld world = new RoutingWorld(1, RoutingFaults.NONE, RoutingWorld.BEARS);
+  private final FaultyWorld world = new FaultyWorld(1, RoutingFaults.NONE, RoutingWorld.BEARS);
 
   @Test
   void answersEveryKindOfRequestWithoutFaults() {
--- a/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingWorld.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingWorld.java
@@ -8,9 +8,7 @@
 import dev.hornbeamwheel.core.config.Configuration;
 import dev.hornbeamwheel.core.model.CellId;
 import dev.hornbeamwheel.core.model.ContractId;
-import dev.hornbeamwheel.core.model.IdempotencyKey;
 import dev.hornbeamwheel.core.model.Incarnation;
-import dev.hornbeamwheel.core.model.Key;
 import dev.hornbeamwheel.core.model.MemberId;
 import dev.hornbeamwheel.core.model.RequestId;
 import dev.hornbeamwheel.core.model.ServiceId;
@@ -27,15 +25,15 @@
 import java.util.stream.IntStream;
 
 /** Routers, voters, upstreams and callers of one data centre in virtual time. */
-final class RoutingWorld {
+class RoutingWorld {
   static final ColdStart BEARS = new ColdStart(10, 60, 2_000);
-  private static final int ROUTERS = 4;
-  private static final int TICK_MILLIS = 10;
-  private static final int GOSSIP_MILLIS = 200;
-  private static final ContractId MILL = ContractId.of("mill");
+  static final int ROUTERS = 4;
+  static final int TICK_MILLIS = 10;
+  static final int GOSSIP_MILLIS = 200;
+  static final ContractId MILL = ContractId.of("mill");
 
   /** A router process and the calls that it has in flight. */
-  private final class RouterProcess {
+  final class RouterProcess {
     final MemberId id;
     final long clockOffset = random.nextInt(100_000);
     final Map<RequestId, RoutingEvent.RequestArrived> requests = new HashMap<>();
@@ -87,15 +85,15 @@
   final Ledger ledger = new Ledger();
   final Random random;
   final FakeNetwork network;
-  private final RoutingFaults faults;
-  private final Catalogue catalogue;
-  private final List<RouterProcess> routers = new ArrayList<>();
-  private final List<FakeVoter> voters = new ArrayList<>();
-  private final Map<UpstreamId, FakeUpstream> upstreams = new HashMap<>();
-  private final Set<Long> poison = new HashSet<>();
-  private ClaimTerm term = new ClaimTerm(0, List.of());
-  private int nextRequest;
-  private int nextVoter;
+  final RoutingFaults faults;
+  final Catalogue catalogue;
+  final List<RouterProcess> routers = new ArrayList<>();
+  final List<FakeVoter> voters = new ArrayList<>();
+  final Map<UpstreamId, FakeUpstream> upstreams = new HashMap<>();
+  final Set<Long> poison = new HashSet<>();
+  ClaimTerm term = new ClaimTerm(0, List.of());
+  int nextRequest;
+  int nextVoter;
 
   RoutingWorld(long seed, RoutingFaults faults, ColdStart believed) {
     this.random = new Random(seed);
@@ -116,167 +114,11 @@
     time.advance(millis);
   }
 
-  /** Sends a pooled lookup, or one with a given fingerprint. */
-  RequestId lookup(long fingerprint) {
-    return request(Catalogue.POOLED, null, true, null, fingerprint);
-  }
-
-  RequestId keyed(String key) {
-    return request(Catalogue.KEYED, Key.of(key), true, null, random.nextLong());
-  }
-
-  RequestId order(String idempotencyKey, ServiceId service) {
-    Key key = service.equals(Catalogue.KEYED) ? Key.of("mill-1") : null;
-    return request(service, key, false, IdempotencyKey.of(idempotencyKey), 7);
-  }
-
-  void lookups(int count) {
-    IntStream.range(0, count).forEach(i -> lookup(random.nextLong()));
-  }
-
-  /** Sends an order, and often the same one again. */
-  void orders(int number) {
-    ServiceId service = number % 2 == 0 ? Catalogue.POOLED : Catalogue.KEYED;
-    order("order-" + number, service);
-    time.after(random.nextInt(60), () -> order("order-" + number, service));
-    time.after(random.nextInt(3_000), () -> order("order-" + number, service));
-  }
-
-  /** Sends a request that crashes whoever runs it, and again each second. */
-  void resendPoison(int number) {
-    long fingerprint = 1_000_000L + number;
-    if (poison.add(fingerprint)) {
-      IntStream.range(0, 6).forEach(i -> time.after(i * 1_000L, () -> lookup(fingerprint)));
-    }
-  }
-
-  void misbehave(int how) {
-    anyUpstream().next = List.of(FakeUpstream.Misbehaviour.values()).get(how);
-  }
-
-  /** Makes the network drop and double messages and delay them. */
-  void disturbNetwork(int strength) {
-    network.dropShare = strength * 0.05;
-    network.doubleShare = strength * 0.05;
-    network.jitterMillis = 2 + 10 * strength;
-  }
-
-  void heal() {
-    disturbNetwork(0);
-  }
-
-  List<String> violations() {
-    List<String> found = new ArrayList<>(ledger.violations);
-    found.addAll(ledger.untrueNotRun());
-    found.addAll(ledger.ranTwice());
-    found.addAll(ledger.partialAnswers());
-    found.addAll(ledger.overloadedColdUpstreams(BEARS, Catalogue.SLOTS));
-    found.addAll(ledger.workAfterDrain(3_000));
-    found.addAll(ledger.ranAfterTwoCrashes(1_000));
-    found.addAll(ledger.cutByStop);
-    return found;
-  }
-
-  RequestId orderWithoutKey() {
-    return request(Catalogue.POOLED, null, false, null, random.nextLong());
-  }
-
-  private RequestId request(
-      ServiceId service, Key key, boolean idempotent, IdempotencyKey once, long fingerprint) {
-    RequestId id = RequestId.of("r" + nextRequest++);
-    if (!idempotent) {
-      ledger.nonIdempotent.add(id);
-    }
-    List<RouterProcess> live = routers.stream().filter(r -> r.alive).toList();
-    RouterProcess router = live.get(random.nextInt(live.size()));
-    boolean early = !router.stopping;
-    router.feed(
-        now -> {
-          RoutingEvent.RequestArrived arrived =
-              new RoutingEvent.RequestArrived(
-                  now, id, MILL, service, key, idempotent, once, fingerprint, now + 1_500);
-          router.requests.put(id, arrived);
-          if (early) {
-            router.open.put(id.value(), true);
-          }
-          return arrived;
-        });
-    return id;
-  }
-
-  void crashUpstream() {
-    anyUpstream().crash();
-  }
-
-  void freezeUpstream(long millis) {
-    anyUpstream().frozenUntilMillis = time.now() + millis;
-  }
-
-  void freezeRouter(long millis) {
-    routers.get(random.nextInt(ROUTERS)).frozenUntil = time.now() + millis;
-  }
-
-  /** Kills a router; another takes its place, and the others learn of it after a while. */
-  void replaceRouter() {
-    RouterProcess lost = routers.get(random.nextInt(ROUTERS));
-    lost.alive = false;
-    time.after(300, this::membersChanged);
-    time.after(
-        900,
-        () -> {
-          lost.start();
-          configure(lost, catalogue.configuration());
-          membersChanged();
-          publishRow(lost);
-        });
-  }
-
-  void cutRouter(long millis) {
-    network.cut(routers.get(random.nextInt(ROUTERS)).id, millis);
-  }
-
-  void cutVoter(long millis) {
-    network.cut(voters.get(random.nextInt(voters.size())).voter.member(), millis);
-  }
-
-  /** Loses a voter and puts another in its place under a new term number. */
-  void replaceVoter() {
-    FakeVoter lost = voters.remove(random.nextInt(voters.size()));
-    time.after(200, () -> lost.alive = false);
-    voters.add(newVoter());
-    newTerm(voters);
-  }
-
-  void drainUpstream() {
-    UpstreamId upstream = anyUpstreamId();
-    if (catalogue.drained.size() < 3 && !catalogue.drained.contains(upstream)) {
-      ledger.drainedAt.put(upstream, time.now());
-      catalogue.drain(upstream);
-      configure();
-      routers.forEach(this::publishRow);
-    }
-  }
-
-  /** Moves the keys to other owners. */
-  void moveKeys() {
-    catalogue.moveKeys();
-    routers.forEach(this::publishRow);
-  }
-
-  /** Stops a router as planned; it ends once it says so. */
-  void stopRouter() {
-    RouterProcess router = routers.get(random.nextInt(ROUTERS));
-    if (router.alive && !router.stopping) {
-      router.stopping = true;
-      router.feed(RoutingEvent.Stopping::new);
-    }
-  }
-
   long unanswered() {
     return routers.stream().filter(r -> r.alive).mapToLong(r -> r.requests.size()).sum();
   }
 
-  private void perform(RouterProcess router, RoutingEffect effect) {
+  void perform(RouterProcess router, RoutingEffect effect) {
     if (effect instanceof RoutingEffect.CallUpstream call) {
       callUpstream(router, call);
     } else if (effect instanceof RoutingEffect.Answer answer) {
@@ -311,7 +153,7 @@
     }
   }
 
-  private void stopped(RouterProcess router) {
+  void stopped(RouterProcess router) {
     router.open.keySet().forEach(id -> ledger.cutByStop.add("cut by stop: " + id));
     router.alive = false;
     membersChanged();
@@ -325,7 +167,7 @@
         });
   }
 
-  private void answer(RouterProcess router, RoutingEffect.Answer answer) {
+  void answer(RouterProcess router, RoutingEffect.Answer answer) {
     ledger.told(answer, router.delivered.getOrDefault(answer.requestId(), 0L), time.now());
     router.requests.remove(answer.requestId());
     boolean early = router.open.remove(answer.requestId().value()) != null;
@@ -334,7 +176,7 @@
     }
   }
 
-  private void callUpstream(RouterProcess router, RoutingEffect.CallUpstream call) {
+  void callUpstream(RouterProcess router, RoutingEffect.CallUpstream call) {
     RoutingEvent.RequestArrived request = router.requests.get(call.requestId());
     FakeUpstream upstream = upstreams.get(call.upstream());
     boolean[] ended = {false};
@@ -349,7 +191,7 @@
                 ended));
   }
 
-  private void replied(
+  void replied(
       RouterProcess router,
       RoutingEffect.CallUpstream call,
       FakeUpstream.Reply reply,
@@ -383,7 +225,7 @@
   }
 
   /** Notes a crash if its router lives, awake and connected, long enough to tell the others. */
-  private void noteCrash(RouterProcess router, RoutingEffect.CallUpstream call) {
+  void noteCrash(RouterProcess router, RoutingEffect.CallUpstream call) {
     RoutingEvent.RequestArrived request = router.requests.get(call.requestId());
     if (request == null || !poison.contains(request.fingerprint())) {
       return;
@@ -399,7 +241,7 @@
         });
   }
 
-  private void claim(FakeVoter from, ClaimEffect.Send send) {
+  void claim(FakeVoter from, ClaimEffect.Send send) {
     for (RouterProcess router : routers) {
       if (router.id.equals(send.to())) {
         router.feed(
@@ -412,25 +254,25 @@
     toVoter(send.to(), from.voter.member(), from.voter.incarnation(), send.message());
   }
 
-  private void toVoter(MemberId to, MemberId from, Incarnation inc, ClaimMessage message) {
+  void toVoter(MemberId to, MemberId from, Incarnation inc, ClaimMessage message) {
     voters.stream()
         .filter(v -> v.voter.member().equals(to))
         .findFirst()
         .ifPresent(v -> v.feed(new ClaimEvent.Received(time.now(), from, inc, message)));
   }
 
-  private void deliver(MemberId from, MemberId to, Runnable arrival) {
+  void deliver(MemberId from, MemberId to, Runnable arrival) {
     network.deliver(from, to, arrival);
   }
 
-  private FakeVoter newVoter() {
+  FakeVoter newVoter() {
     return new FakeVoter(
         nextVoter++,
         random.nextLong(),
         (voter, send) -> deliver(voter.voter.member(), send.to(), () -> claim(voter, send)));
   }
 
-  private void newTerm(List<FakeVoter> members) {
+  void newTerm(List<FakeVoter> members) {
     List<ClaimTerm> predecessors = term.number() == 0 ? List.of() : List.of(term);
     term = new ClaimTerm(term.number() + 1, members.stream().map(v -> v.voter).toList());
     ClaimTerm learned = term;
@@ -446,22 +288,22 @@
     routers.forEach(r -> time.after(random.nextInt(100), () -> publishRow(r)));
   }
 
-  private void publishRow(RouterProcess router) {
+  void publishRow(RouterProcess router) {
     catalogue
         .rows(term)
         .forEach(row -> router.feed(now -> new RoutingEvent.OwnershipLearned(now, row)));
   }
 
-  private void configure() {
+  void configure() {
     Configuration next = catalogue.nextConfiguration();
     routers.forEach(r -> time.after(random.nextInt(500), () -> configure(r, next)));
   }
 
-  private void configure(RouterProcess router, Configuration configuration) {
+  void configure(RouterProcess router, Configuration configuration) {
     router.feed(now -> new RoutingEvent.ConfigurationChanged(now, configuration));
   }
 
-  private void membersChanged() {
+  void membersChanged() {
     List<Peer> live =
         routers.stream()
             .filter(r -> r.alive)
@@ -474,7 +316,7 @@
                 () -> r.feed(now -> new RoutingEvent.MembersChanged(now, live))));
   }
 
-  private void tick() {
+  void tick() {
     routers.stream()
         .filter(r -> time.now() >= r.frozenUntil)
         .forEach(r -> r.feed(RoutingEvent.Tick::new));
@@ -486,7 +328,7 @@
   }
 
   /** Passes the evidence of a router on to another one. */
-  private void gossip(RouterProcess router) {
+  void gossip(RouterProcess router) {
     List<Evidence> evidence = router.reducer.evidence(router.clock());
     RouterProcess peer = routers.get(random.nextInt(ROUTERS));
     deliver(
@@ -495,15 +337,15 @@
         () -> peer.feed(now -> new RoutingEvent.EvidenceLearned(now, evidence)));
   }
 
-  private RouterProcess router(MemberId id) {
+  RouterProcess router(MemberId id) {
     return routers.stream().filter(r -> r.id.equals(id)).findFirst().orElseThrow();
   }
 
-  private FakeUpstream anyUpstream() {
+  FakeUpstream anyUpstream() {
     return upstreams.get(anyUpstreamId());
   }
 
-  private UpstreamId anyUpstreamId() {
+  UpstreamId anyUpstreamId() {
     return catalogue.upstreams.get(random.nextInt(catalogue.upstreams.size())).id();
   }
 }
