--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/placement/BoundedLoadHashing.java
@@ -0,0 +1,47 @@
+package dev.hornbeamwheel.core.placement;
+
+import dev.hornbeamwheel.core.model.Slice;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Places a slice on the first upstream along the ring whose load stays under a bound. */
+final class BoundedLoadHashing implements Hashing {
+  private final double bound;
+
+  BoundedLoadHashing(double bound) {
+    this.bound = bound;
+  }
+
+  @Override
+  public Map<Slice, UpstreamId> place(List<Slice> slices, PlacementView view) {
+    List<PlacementView.Target> targets = view.eligible();
+    HashRing ring = new HashRing(targets);
+    double total = slices.stream().mapToDouble(slice -> load(slice, view)).sum();
+    double[] loads =
+        targets.stream()
+            .mapToDouble(target -> view.externalLoad().getOrDefault(target.upstream(), 0.0))
+            .toArray();
+    double external = Arrays.stream(loads).sum();
+    double capacity = targets.stream().mapToDouble(PlacementView.Target::capacity).sum();
+    double limit = bound * (total + external) / capacity;
+    boolean[] full = new boolean[loads.length];
+    Map<Slice, UpstreamId> places = new HashMap<>();
+    for (Slice slice : slices) {
+      double load = load(slice, view);
+      for (int i = 0; i < loads.length; i++) {
+        full[i] = loads[i] + load > limit * targets.get(i).capacity();
+      }
+      int owner = ring.firstWithRoom(Hashing.hash(slice), full);
+      loads[owner] += load;
+      places.put(slice, targets.get(owner).upstream());
+    }
+    return places;
+  }
+
+  private static double load(Slice slice, PlacementView view) {
+    return view.load().getOrDefault(slice, 0.0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/placement/ConsistentHashing.java
@@ -0,0 +1,21 @@
+package dev.hornbeamwheel.core.placement;
+
+import dev.hornbeamwheel.core.model.Slice;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** Places a slice on the upstream that follows it on a ring of hashes. */
+final class ConsistentHashing implements Hashing {
+  @Override
+  public Map<Slice, UpstreamId> place(List<Slice> slices, PlacementView view) {
+    HashRing ring = new HashRing(view.eligible());
+    return slices.stream()
+        .collect(
+            Collectors.toMap(
+                Function.identity(),
+                slice -> view.eligible().get(ring.owner(Hashing.hash(slice))).upstream()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/placement/HashRing.java
@@ -0,0 +1,48 @@
+package dev.hornbeamwheel.core.placement;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+
+/** Points of the eligible upstreams on a ring of hashes, as many as their capacity asks for. */
+final class HashRing {
+  /** Points of an upstream of mean capacity. */
+  private static final int POINTS = 128;
+
+  private final TreeMap<Long, Integer> points = new TreeMap<>();
+
+  HashRing(List<PlacementView.Target> targets) {
+    double mean = targets.stream().mapToDouble(PlacementView.Target::capacity).average().orElse(1);
+    IntStream.range(0, targets.size()).forEach(index -> add(index, targets.get(index), mean));
+  }
+
+  private void add(int index, PlacementView.Target target, double mean) {
+    long hash = Rendezvous.hash(target.upstream().value());
+    long count = Math.max(1, Math.round(POINTS * target.capacity() / mean));
+    for (long point = 1; point <= count; point++) {
+      points.put(Rendezvous.weight(hash, point), index);
+    }
+  }
+
+  /** Returns the index of the upstream that follows a hash on the ring. */
+  int owner(long hash) {
+    Map.Entry<Long, Integer> next = points.ceilingEntry(hash);
+    return (next == null ? points.firstEntry() : next).getValue();
+  }
+
+  /** Returns the index of the first upstream from a hash on that has room, or the nearest one. */
+  int firstWithRoom(long hash, boolean[] full) {
+    for (int index : points.tailMap(hash).values()) {
+      if (!full[index]) {
+        return index;
+      }
+    }
+    for (int index : points.headMap(hash).values()) {
+      if (!full[index]) {
+        return index;
+      }
+    }
+    return owner(hash);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/placement/RendezvousHashing.java
@@ -0,0 +1,43 @@
+package dev.hornbeamwheel.core.placement;
+
+import dev.hornbeamwheel.core.model.Slice;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+/** Places a slice on the upstream with the greatest weight for it, scaled by capacity. */
+final class RendezvousHashing implements Hashing {
+  /** Bits of a hash that a double holds exactly. */
+  private static final int EXACT_BITS = 53;
+
+  @Override
+  public Map<Slice, UpstreamId> place(List<Slice> slices, PlacementView view) {
+    List<PlacementView.Target> targets = view.eligible();
+    long[] hashes =
+        targets.stream().mapToLong(t -> Rendezvous.hash(t.upstream().value())).toArray();
+    Map<Slice, UpstreamId> places = new HashMap<>();
+    slices.forEach(
+        slice -> places.put(slice, targets.get(best(slice, targets, hashes)).upstream()));
+    return places;
+  }
+
+  private static int best(Slice slice, List<PlacementView.Target> targets, long[] hashes) {
+    long subject = Hashing.hash(slice);
+    return IntStream.range(0, targets.size())
+        .boxed()
+        .max(
+            (one, other) ->
+                Double.compare(
+                    score(hashes[one], subject, targets.get(one).capacity()),
+                    score(hashes[other], subject, targets.get(other).capacity())))
+        .orElseThrow();
+  }
+
+  private static double score(long hash, long subject, double capacity) {
+    long bits = Rendezvous.weight(hash, subject) >>> (Long.SIZE - EXACT_BITS);
+    double uniform = (bits + 0.5) / (1L << EXACT_BITS);
+    return -capacity / Math.log(uniform);
+  }
+}
