--- /dev/null
+++ b/bench/src/main/java/dev/hornbeamwheel/bench/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Measures placement policies under a shifting load. */
+package dev.hornbeamwheel.bench.placement;
