--- a/core/src/test/java/dev/hornbeamwheel/core/membership/FleetSimulation.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/membership/FleetSimulation.java
@@ -71,6 +71,11 @@
     storedVersion++;
   }
 
+  /** Doubles and delays many messages, so that they arrive out of order. */
+  public void reorder() {
+    network.faults(0, 50, 400);
+  }
+
   /** Ends all faults. */
   public void heal() {
     network.heal();
