--- /dev/null
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/http/package-info.java
@@ -0,0 +1,2 @@
+/** Small helpers of the HTTP handlers. */
+package dev.hornbeamwheel.standins.http;
--- a/standins/src/main/java/dev/hornbeamwheel/standins/package-info.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/package-info.java
@@ -1,2 +1,2 @@
-/** To be filled by the first change of this module. */
+/** Stand-ins for the platform and for upstreams, for tests and the quick start only. */
 package dev.hornbeamwheel.standins;
--- /dev/null
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/upstream/Responder.java
@@ -0,0 +1,13 @@
+package dev.hornbeamwheel.standins.upstream;
+
+/** Where the result of one request goes; one of the methods is called, once. */
+interface Responder {
+  /** The request certainly did not run. */
+  void refuse(RefusalReason reason);
+
+  /** The request ran. */
+  void answer();
+
+  /** The upstream ended before it could answer. */
+  void drop();
+}
--- /dev/null
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for upstreams, each with its own port in one process. */
+package dev.hornbeamwheel.standins.upstream;
