--- a/standins/src/main/java/dev/hornbeamwheel/standins/faults/Fault.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/faults/Fault.java
@@ -28,9 +28,15 @@
   /** A fault of the platform. */
   sealed interface OfPlatform extends Fault {}
 
-  /** A fault of one upstream or, where the type says so, of all. */
+  /** A fault of upstreams. */
   sealed interface OfUpstream extends Fault {}
 
+  /** A fault of one upstream. */
+  sealed interface OfOneUpstream extends OfUpstream {
+    /** Returns the upstream. */
+    UpstreamId upstream();
+  }
+
   /** How the platform behaves while it is down. */
   enum DownMode {
     /** It answers 503 and certainly does nothing. */
@@ -77,13 +83,13 @@
   record ListHosts(List<ListedHost> hosts) implements OfPlatform {}
 
   /** Stops an upstream without ending it. */
-  record Freeze(UpstreamId upstream) implements OfUpstream {}
+  record Freeze(UpstreamId upstream) implements OfOneUpstream {}
 
   /** Lets a frozen upstream go on where it stopped. */
-  record Thaw(UpstreamId upstream) implements OfUpstream {}
+  record Thaw(UpstreamId upstream) implements OfOneUpstream {}
 
   /** Ends an upstream at once and starts it anew, with another incarnation. */
-  record Crash(UpstreamId upstream, long restartAfterMillis) implements OfUpstream {}
+  record Crash(UpstreamId upstream, long restartAfterMillis) implements OfOneUpstream {}
 
   /**
    * Lets each upstream crash that runs a request whose path contains a marker; an empty marker ends
@@ -92,21 +98,21 @@
   record CrashOn(String marker, long restartAfterMillis) implements OfUpstream {}
 
   /** Multiplies the time that an upstream takes for a request, for some time. */
-  record Slow(UpstreamId upstream, int factor, long forMillis) implements OfUpstream {}
+  record Slow(UpstreamId upstream, int factor, long forMillis) implements OfOneUpstream {}
 
   /** Makes an upstream refuse new requests. */
-  record Drain(UpstreamId upstream) implements OfUpstream {}
+  record Drain(UpstreamId upstream) implements OfOneUpstream {}
 
   /** Makes a draining upstream take requests again. */
-  record Return(UpstreamId upstream) implements OfUpstream {}
+  record Return(UpstreamId upstream) implements OfOneUpstream {}
 
   /** Makes an upstream cold again without a restart. */
-  record TurnCold(UpstreamId upstream) implements OfUpstream {}
+  record TurnCold(UpstreamId upstream) implements OfOneUpstream {}
 
   /** Disturbs the next answers of an upstream; {@code millis} counts for late ones only. */
   record DisturbAnswers(UpstreamId upstream, Disturbance how, int count, long millis)
-      implements OfUpstream {}
+      implements OfOneUpstream {}
 
   /** Sets what the health endpoint of an upstream says. */
-  record PretendHealth(UpstreamId upstream, Health state) implements OfUpstream {}
+  record PretendHealth(UpstreamId upstream, Health state) implements OfOneUpstream {}
 }
--- a/standins/src/main/java/dev/hornbeamwheel/standins/upstream/UpstreamProcess.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/upstream/UpstreamProcess.java
@@ -12,20 +12,24 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 /** One start of an upstream: its slots, its queue and what it was granted. */
 final class UpstreamProcess {
+  /** Clocks of upstreams differ by up to this much, as no two machines share one. */
+  private static final long MAX_CLOCK_OFFSET_MILLIS = 1_000_000;
+
   private final Upstream declared;
   private final Service service;
   private final Incarnation incarnation;
   private final UpstreamSettings settings;
   private final Clock clock;
+  private final long clockOffsetMillis;
   private final ScheduledExecutorService timer;
   private final FreezeGate gate;
   private final RunLog runs;
@@ -33,7 +37,7 @@
   private final ColdStartGuard coldStart;
   private final LaggingLoad load;
   private final Deque<Work> queue = new ArrayDeque<>();
-  private final Map<RequestId, Work> running = new HashMap<>();
+  private final Set<Work> running = new LinkedHashSet<>();
   private boolean draining;
   private boolean ended;
   private int slowFactor = 1;
@@ -52,6 +56,7 @@
     this.incarnation = incarnation;
     this.settings = settings;
     this.clock = environment.clock();
+    this.clockOffsetMillis = Math.floorMod(incarnation.value(), MAX_CLOCK_OFFSET_MILLIS);
     this.timer = environment.timer();
     this.runs = environment.runs();
     this.gate = gate;
@@ -76,7 +81,7 @@
       responder.refuse(RefusalReason.DRAINING);
     } else if (now >= request.deadlineAtMillis()) {
       responder.refuse(RefusalReason.EXPIRED);
-    } else if (check(request, now) instanceof Grants.Check.Refused refused) {
+    } else if (check(request) instanceof Grants.Check.Refused refused) {
       responder.refuse(refused.reason());
     } else if (!coldStart.tryAdmit(now)) {
       runs.addShedWhileCold();
@@ -84,38 +89,31 @@
     } else if (queue.size() >= settings.queueLimit() && running.size() >= declared.slots()) {
       responder.refuse(RefusalReason.SHED);
     } else {
-      Grants.Check.Held held = (Grants.Check.Held) check(request, now);
+      Grants.Check.Held held = (Grants.Check.Held) check(request);
       queue.add(new Work(request, responder, held.holding()));
       fillSlots();
     }
   }
 
-  /** Cancels a request; returns whether it was waiting or running. */
+  /** Cancels all copies of a request; returns whether one was waiting or running. */
   synchronized boolean cancel(RequestId id) {
-    Work waiting =
-        queue.stream().filter(work -> work.request.id().equals(id)).findFirst().orElse(null);
-    if (waiting != null) {
-      queue.remove(waiting);
-      waiting.responder.refuse(RefusalReason.CANCELLED);
-      return true;
-    }
-    Work active = running.remove(id);
-    if (active == null) {
-      return false;
-    }
-    active.responder.refuse(RefusalReason.CANCELLED);
+    List<Work> copies =
+        Stream.concat(queue.stream(), running.stream())
+            .filter(work -> work.request.id().equals(id))
+            .toList();
+    queue.removeAll(copies);
+    running.removeAll(copies);
+    copies.forEach(work -> work.responder.refuse(RefusalReason.CANCELLED));
     fillSlots();
-    return true;
+    return !copies.isEmpty();
   }
 
   synchronized List<UpstreamReply> obey(List<UpstreamOrder> orders) {
-    return orders.stream()
-        .map(order -> grants.obey(order, clock.millis(), this::unfinished))
-        .toList();
+    return orders.stream().map(order -> grants.obey(order, ownMillis(), this::unfinished)).toList();
   }
 
   synchronized boolean holds(Slice slice) {
-    return !ended && grants.holds(slice, clock.millis());
+    return !ended && grants.holds(slice, ownMillis());
   }
 
   synchronized LoadReport load() {
@@ -147,18 +145,18 @@
   /** Ends this start; what has not committed never takes effect. */
   synchronized void end() {
     ended = true;
-    Stream.concat(queue.stream(), running.values().stream()).forEach(work -> work.responder.drop());
+    Stream.concat(queue.stream(), running.stream()).forEach(work -> work.responder.drop());
     queue.clear();
     running.clear();
   }
 
-  private Grants.Check check(UpstreamRequest request, long nowMillis) {
+  private Grants.Check check(UpstreamRequest request) {
     if (!service.keyed()) {
       return new Grants.Check.Held(Grants.Holding.NOT_NEEDED);
     }
     return request
         .slice()
-        .map(slice -> grants.check(slice, request.epoch(), nowMillis))
+        .map(slice -> grants.check(slice, request.epoch(), ownMillis()))
         .orElse(new Grants.Check.Refused(RefusalReason.MALFORMED));
   }
 
@@ -174,11 +172,14 @@
     long now = clock.millis();
     if (now >= work.request.deadlineAtMillis()) {
       work.responder.refuse(RefusalReason.EXPIRED);
-    } else if (check(work.request, now) instanceof Grants.Check.Refused refused) {
+    } else if (check(work.request) instanceof Grants.Check.Refused refused) {
       work.responder.refuse(refused.reason());
     } else {
       work.startedAtMillis = now;
-      running.put(work.request.id(), work);
+      running.add(work);
+      if (work.responder.crashes()) {
+        return;
+      }
       long millis = settings.serviceMillis() * (now < slowUntilMillis ? slowFactor : 1);
       var unused =
           timer.schedule(() -> gate.pass(() -> finish(work)), millis, TimeUnit.MILLISECONDS);
@@ -188,11 +189,10 @@
   /** Commits a request, unless it was cancelled or its lease has lapsed meanwhile. */
   private synchronized void finish(Work work) {
     long now = clock.millis();
-    if (ended || running.get(work.request.id()) != work) {
+    if (ended || !running.remove(work)) {
       return;
     }
-    running.remove(work.request.id());
-    if (grants.unbroken(work.holding, now)) {
+    if (grants.unbroken(work.holding, ownMillis())) {
       coldStart.completed(now);
       runs.add(record(work, now));
       work.responder.answer();
@@ -218,11 +218,16 @@
 
   private int unfinished(Collection<Slice> slices) {
     return (int)
-        Stream.concat(queue.stream(), running.values().stream())
+        Stream.concat(queue.stream(), running.stream())
             .filter(work -> work.request.slice().map(slices::contains).orElse(false))
             .count();
   }
 
+  /** Returns the reading of this upstream's own clock. */
+  private long ownMillis() {
+    return clock.millis() + clockOffsetMillis;
+  }
+
   private void recordLoad() {
     load.record(clock.millis(), running.size(), queue.size(), draining);
   }
