--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/package-info.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/package-info.java
@@ -1,2 +1,2 @@
-/** To be filled by the first change of this module. */
+/** The operators' command {@code hornbeamwheelctl}. */
 package dev.hornbeamwheel.ctl;
