Follow the contract of upstreams: key header, slice text, cancellation, outcome required

Cause: docs/INTERFACES.md settles them. Change: Hbw-Key is passed on, a cancelled attempt is cancelled at the upstream too, an answer without an outcome is trusted as little as another request's. Ruled out: counting it as a lost connection, which would suspect the request of a crash.

--- a/router/src/main/java/dev/hornbeamwheel/router/flow/RequestFlow.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/flow/RequestFlow.java
@@ -126,6 +126,7 @@
         caller.request().target(),
         caller.headers(),
         caller.body(),
+        caller.request().key(),
         new Slice(call.shard(), call.keyHash()),
         call.epoch(),
         caller.request().idempotencyKey(),
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/AnswerHeads.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/AnswerHeads.java
@@ -22,6 +22,9 @@
     if (!spec.requestId().value().equals(response.header(UpstreamHeaders.REQUEST_ID))) {
       return Optional.of(new AttemptOutcome.ForeignAnswer());
     }
+    if (response.header(UpstreamHeaders.OUTCOME) == null) {
+      return Optional.of(new AttemptOutcome.ForeignAnswer());
+    }
     if (UpstreamHeaders.NOT_RUN.equals(response.header(UpstreamHeaders.OUTCOME))) {
       return Optional.of(new AttemptOutcome.Refused(refusal(response)));
     }
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptRequests.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptRequests.java
@@ -23,12 +23,21 @@
             .header(UpstreamHeaders.DEADLINE_MILLIS, Long.toString(spec.timeoutMillis()))
             .header("Accept-Encoding", "identity")
             .method(spec.method(), body(spec));
+    spec.key().ifPresent(key -> request.header(UpstreamHeaders.KEY, key.value()));
     spec.idempotencyKey()
         .ifPresent(key -> request.header(UpstreamHeaders.IDEMPOTENCY_KEY, key.value()));
     spec.validator().ifPresent(validator -> resume(request, spec.resumeOffset(), validator));
     return request.build();
   }
 
+  /** Returns the request that cancels an attempt at the upstream. */
+  static Request cancellation(AttemptSpec spec) {
+    return new Request.Builder()
+        .url(HttpUrl.get("http://" + spec.address() + "/requests/" + spec.requestId()))
+        .delete()
+        .build();
+  }
+
   private static void resume(Request.Builder request, long offset, String validator) {
     request.header(UpstreamHeaders.RANGE, "bytes=" + offset + "-");
     request.header(UpstreamHeaders.IF_RANGE, validator);
@@ -36,7 +45,7 @@
 
   private static String sliceText(AttemptSpec spec) {
     return spec.slice().isolated()
-        ? spec.slice().shard() + ":" + Long.toHexString(spec.slice().keyHash())
+        ? spec.slice().shard() + "." + Long.toHexString(spec.slice().keyHash())
         : Integer.toString(spec.slice().shard());
   }
 
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptSpec.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptSpec.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.router.upstream;
 
 import dev.hornbeamwheel.core.model.IdempotencyKey;
+import dev.hornbeamwheel.core.model.Key;
 import dev.hornbeamwheel.core.model.RequestId;
 import dev.hornbeamwheel.core.model.Slice;
 import java.util.Optional;
@@ -16,6 +17,7 @@
  * @param target path and query, starting with a slash
  * @param headers end-to-end headers of the caller
  * @param body the whole body; empty if there is none
+ * @param key the key; empty for a pooled service
  * @param slice the slice that the key belongs to; zero for a pooled service
  * @param epoch epoch of the slice; zero for a pooled service
  * @param idempotencyKey the caller's idempotency key
@@ -30,6 +32,7 @@
     String target,
     Headers headers,
     ByteString body,
+    Optional<Key> key,
     Slice slice,
     long epoch,
     Optional<IdempotencyKey> idempotencyKey,
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/OkHttpUpstreamClient.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/OkHttpUpstreamClient.java
@@ -64,7 +64,13 @@
     Call call = client.newCall(request);
     call.timeout().timeout(Math.max(1, spec.timeoutMillis()), TimeUnit.MILLISECONDS);
     call.enqueue(OkHttpAttempt.of(spec, listener, progress));
-    return call::cancel;
+    return () -> cancel(call, spec);
+  }
+
+  /** Ends the call here and asks the upstream to end it there; the latter may fail. */
+  private void cancel(Call call, AttemptSpec spec) {
+    call.cancel();
+    client.newCall(AttemptRequests.cancellation(spec)).enqueue(IgnoredAnswer.INSTANCE);
   }
 
   private static EventListener listenerOf(Call call) {
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/UpstreamHeaders.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/UpstreamHeaders.java
@@ -6,6 +6,7 @@
 /** Names of the headers between the router and upstreams; docs/INTERFACES.md explains each. */
 final class UpstreamHeaders {
   static final String REQUEST_ID = "Hbw-Request-Id";
+  static final String KEY = "Hbw-Key";
   static final String SLICE = "Hbw-Slice";
   static final String EPOCH = "Hbw-Epoch";
   static final String DEADLINE_MILLIS = "Hbw-Deadline-Millis";
--- a/router/src/test/java/dev/hornbeamwheel/router/upstream/OkHttpUpstreamClientTest.java
+++ b/router/src/test/java/dev/hornbeamwheel/router/upstream/OkHttpUpstreamClientTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.hornbeamwheel.core.model.IdempotencyKey;
+import dev.hornbeamwheel.core.model.Key;
 import dev.hornbeamwheel.core.model.RequestId;
 import dev.hornbeamwheel.core.model.Slice;
 import dev.hornbeamwheel.core.routing.AttemptOutcome;
@@ -71,6 +72,17 @@
     assertThat(outcome).isEqualTo(new AttemptOutcome.Refused(Refusal.STALE_EPOCH));
   }
 
+  @Test
+  void trustsNoAnswerThatDoesNotSayItsOutcome() throws Exception {
+    AttemptOutcome outcome =
+        run(
+            exchange -> {
+              put(exchange, UpstreamHeaders.REQUEST_ID, OWN_ID);
+              exchange.getResponseSender().send("x");
+            });
+    assertThat(outcome).isEqualTo(new AttemptOutcome.ForeignAnswer());
+  }
+
   @Test
   void tellsABrokenAnswerFromAWholeOne() throws Exception {
     AttemptOutcome outcome = run(this::breakOff);
@@ -127,6 +139,7 @@
 
   private void breakOff(HttpServerExchange exchange) {
     put(exchange, UpstreamHeaders.REQUEST_ID, OWN_ID);
+    put(exchange, UpstreamHeaders.OUTCOME, "completed");
     put(exchange, "ETag", "\"v1\"");
     exchange.setResponseContentLength(200_000);
     exchange.dispatch(
@@ -148,6 +161,9 @@
 
   private static void echo(HttpServerExchange exchange, String id, String body) {
     put(exchange, UpstreamHeaders.REQUEST_ID, id);
+    if (!exchange.getResponseHeaders().contains(UpstreamHeaders.OUTCOME)) {
+      put(exchange, UpstreamHeaders.OUTCOME, "completed");
+    }
     exchange.getResponseSender().send(body);
   }
 
@@ -172,6 +188,7 @@
         "/x",
         Headers.of(),
         ByteString.EMPTY,
+        Optional.of(Key.of("mill-7")),
         Slice.ofShard(3),
         7,
         Optional.<IdempotencyKey>empty(),
