--- a/controller/src/main/java/dev/hornbeamwheel/controller/package-info.java
+++ b/controller/src/main/java/dev/hornbeamwheel/controller/package-info.java
@@ -1,2 +1,2 @@
-/** To be filled by the first change of this module. */
+/** The controller program: leads cells and arbitrates contract limits. */
 package dev.hornbeamwheel.controller;
--- a/core/src/main/java/dev/hornbeamwheel/core/node/ControllerNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/node/ControllerNode.java
@@ -13,6 +13,7 @@
 import dev.hornbeamwheel.core.membership.MemberState;
 import dev.hornbeamwheel.core.membership.Role;
 import dev.hornbeamwheel.core.membership.Topic;
+import dev.hornbeamwheel.core.model.CellId;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.ownership.CellRow;
 import dev.hornbeamwheel.core.ownership.OwnershipEffect;
@@ -30,6 +31,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * All concerns of a controller, joined into one reducer.
@@ -85,6 +87,16 @@
     return ownership;
   }
 
+  /** Returns the cells that this controller leads; to be read on the thread that reduces. */
+  public List<CellId> cellsLed(long nowMillis) {
+    return LimitsCells.addTo(configuration(), self.dataCentre()).declarations().services().stream()
+        .flatMap(
+            service ->
+                IntStream.range(0, service.cells()).mapToObj(i -> CellId.of(service.id(), i)))
+        .filter(cell -> ownership.leads(cell, nowMillis))
+        .toList();
+  }
+
   /** Returns the configuration in force; to be read on the thread that reduces. */
   public Configuration configuration() {
     return fleet.configuration();
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/loop/EffectPerformer.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/loop/EffectPerformer.java
@@ -13,4 +13,7 @@
    * <p>What comes of it is posted to the loop as an event.
    */
   void perform(F effect);
+
+  /** Completes what was begun by the effects of one event, on the thread of the event loop. */
+  default void flush() {}
 }
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/loop/EventLoop.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/loop/EventLoop.java
@@ -125,6 +125,7 @@
   private void reduce(LongFunction<? extends E> event) {
     try {
       reducer.reduce(event.apply(clock.millis())).forEach(performer::perform);
+      performer.flush();
     } catch (RuntimeException e) {
       LOGGER.log(Level.ERROR, "event failed; the loop goes on with the next one", e);
     }
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/metrics/Metrics.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/metrics/Metrics.java
@@ -34,7 +34,7 @@
     Metrics metrics = empty();
     JvmMetrics.builder().register(metrics.registry);
     metrics.counter(
-        "log_lines_dropped_total",
+        "hornbeamwheel_log_lines_dropped_total",
         "Log lines that the full queue of the log could not take.",
         NonBlockingAppender::dropped);
     return metrics;
@@ -47,13 +47,13 @@
 
   /** Registers a counter; {@code name} ends in {@code _total}. */
   public Counter counter(String name, String help, String... labels) {
-    return Counter.builder().name(PREFIX + name).help(help).labelNames(labels).register(registry);
+    return Counter.builder().name(checked(name)).help(help).labelNames(labels).register(registry);
   }
 
   /** Registers a counter that is read when the page is asked for. */
   public void counter(String name, String help, DoubleSupplier value) {
     CounterWithCallback.builder()
-        .name(PREFIX + name)
+        .name(checked(name))
         .help(help)
         .callback(callback -> callback.call(value.getAsDouble()))
         .register(registry);
@@ -61,22 +61,29 @@
 
   /** Registers a gauge. */
   public Gauge gauge(String name, String help, String... labels) {
-    return Gauge.builder().name(PREFIX + name).help(help).labelNames(labels).register(registry);
+    return Gauge.builder().name(checked(name)).help(help).labelNames(labels).register(registry);
   }
 
   /** Registers a gauge that is read when the page is asked for. */
   public void gauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
-        .name(PREFIX + name)
+        .name(checked(name))
         .help(help)
         .callback(callback -> callback.call(value.getAsDouble()))
         .register(registry);
   }
 
+  private static String checked(String name) {
+    if (!name.startsWith(PREFIX)) {
+      throw new IllegalArgumentException("a metric's name starts with " + PREFIX + ": " + name);
+    }
+    return name;
+  }
+
   /** Registers a histogram with the given upper bounds of its buckets, in the unit of its name. */
   public Histogram histogram(String name, String help, double[] bounds, String... labels) {
     return Histogram.builder()
-        .name(PREFIX + name)
+        .name(checked(name))
         .help(help)
         .labelNames(labels)
         .classicOnly()
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/node/NodeMetrics.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/node/NodeMetrics.java
@@ -11,35 +11,43 @@
   /** Registers the metrics of an event loop. */
   public static void register(Metrics metrics, EventLoop<?, ?> loop) {
     metrics.gauge(
-        "event_loop_lag_milliseconds",
+        "hornbeamwheel_event_loop_lag_milliseconds",
         "Time by which the last tick of the event loop was late.",
         loop::lagMillis);
     metrics.counter(
-        "event_loop_late_ticks_total",
+        "hornbeamwheel_event_loop_late_ticks_total",
         "Ticks of the event loop that were late by more than a tick.",
         loop::lateTicks);
-    metrics.gauge("event_loop_queue", "Events that wait for the event loop.", loop::queued);
+    metrics.gauge(
+        "hornbeamwheel_event_loop_queue", "Events that wait for the event loop.", loop::queued);
   }
 
   /** Registers the metrics of a transport. */
   public static void register(Metrics metrics, TransportCounters counters) {
-    metrics.counter("peer_sent_bytes_total", "Bytes sent to other members.", counters::sentBytes);
     metrics.counter(
-        "peer_received_bytes_total", "Bytes received from members.", counters::receivedBytes);
+        "hornbeamwheel_peer_sent_bytes_total", "Bytes sent to other members.", counters::sentBytes);
+    metrics.counter(
+        "hornbeamwheel_peer_received_bytes_total",
+        "Bytes received from members.",
+        counters::receivedBytes);
     metrics.counter(
-        "peer_sent_messages_total", "Messages sent to other members.", counters::sentMessages);
+        "hornbeamwheel_peer_sent_messages_total",
+        "Messages sent to other members.",
+        counters::sentMessages);
     metrics.counter(
-        "peer_received_messages_total",
+        "hornbeamwheel_peer_received_messages_total",
         "Messages received from members.",
         counters::receivedMessages);
     metrics.counter(
-        "gossip_sent_bytes_total", "Bytes of gossip sent to members.", counters::gossipBytes);
+        "hornbeamwheel_gossip_sent_bytes_total",
+        "Bytes of gossip sent to members.",
+        counters::gossipBytes);
     metrics.counter(
-        "peer_dropped_messages_total",
+        "hornbeamwheel_peer_dropped_messages_total",
         "Messages dropped because their receiver could not take them.",
         counters::droppedMessages);
     metrics.counter(
-        "peer_malformed_frames_total",
+        "hornbeamwheel_peer_malformed_frames_total",
         "Frames received that were no message of this version.",
         counters::malformedFrames);
   }
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/node/PlatformErrors.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/node/PlatformErrors.java
@@ -16,7 +16,7 @@
   public PlatformErrors(Metrics metrics) {
     this.counter =
         metrics.counter(
-            "platform_errors_total",
+            "hornbeamwheel_platform_errors_total",
             "Calls of the platform and orders to upstreams that failed, by kind of error.",
             "kind");
   }
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/settings/SettingsObject.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/settings/SettingsObject.java
@@ -105,6 +105,11 @@
     return items(field).stream().map(item -> readAll(file, item, read)).toList();
   }
 
+  /** Returns what {@code read} makes of each object of a list, nothing if the file lacks it. */
+  public <T> List<T> optionalSections(String field, Function<SettingsObject, T> read) {
+    return optional(field).isEmpty() ? List.of() : sections(field, read);
+  }
+
   static <T> T readAll(Path file, JsonValue value, Function<SettingsObject, T> read) {
     SettingsObject object = of(file, value);
     T result = read.apply(object);
--- a/runtime/src/test/java/dev/hornbeamwheel/runtime/operator/OperatorServerTest.java
+++ b/runtime/src/test/java/dev/hornbeamwheel/runtime/operator/OperatorServerTest.java
@@ -47,7 +47,7 @@
 
   @Test
   void showsMetricsStatusAndLiveness() throws Exception {
-    metrics.counter("drops_total", "Drops.").inc(3);
+    metrics.counter("hornbeamwheel_drops_total", "Drops.").inc(3);
 
     assertThat(get("/metrics").body()).contains("hornbeamwheel_drops_total 3.0");
     assertThat(get("/status").body()).isEqualTo("{\"member\":\"m\",\"cells\":2}\n");
