Keep callers away from the control of upstreams, and ignore events before a loop starts

Cause: a caller's POST to /orders reached the upstream's endpoint for grants: in the quick start the order was answered 400 'malformed order' without an outcome; with a valid body a caller could have granted slices. Change: all control of an upstream lies under /.well-known/hornbeamwheel, which the router refuses however it is encoded; the loop ignores events until it starts. Ruled out: a deny list in each upstream, which others write.

--- a/router/src/main/java/dev/hornbeamwheel/router/RouterServer.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/RouterServer.java
@@ -168,7 +168,7 @@
 
   private RequestId newRequestId() {
     return RequestId.of(
-        identity.member()
+        identity.member().value().replace('/', '.')
             + "."
             + Long.toString(identity.incarnation().value(), Character.MAX_RADIX)
             + "."
--- a/router/src/main/java/dev/hornbeamwheel/router/http/RequestChecker.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/http/RequestChecker.java
@@ -10,9 +10,12 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.regex.MatchResult;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Checks the head of a caller's request, before its body is read. */
@@ -28,6 +31,8 @@
 
   private static final Pattern TOKEN_TEXT = Pattern.compile("[A-Za-z0-9._-]{1,200}");
   private static final Pattern REQUEST_ID = Pattern.compile("[A-Za-z0-9._-]{1,128}");
+  private static final Pattern ENCODED = Pattern.compile("%([0-9a-fA-F]{2})");
+  private static final String CONTROL = ".well-known/hornbeamwheel";
   private static final String BEARER = "Bearer ";
   private static final Set<String> NON_IDEMPOTENT_METHODS = Set.of("POST", "PATCH");
 
@@ -59,7 +64,10 @@
     if (!contract.get().services().contains(service.get().id())) {
       return new RequestCheck.Refused(RequestProblem.SERVICE_NOT_IN_CONTRACT);
     }
-    return checkFields(exchange, contract.get(), service.get(), target(exchange, path));
+    String target = target(exchange, path);
+    return isControl(target)
+        ? new RequestCheck.Refused(RequestProblem.RESERVED_PATH)
+        : checkFields(exchange, contract.get(), service.get(), target);
   }
 
   private RequestCheck checkFields(
@@ -136,6 +144,20 @@
     }
   }
 
+  /** Returns whether a path may lead to the control of an upstream, however it is written. */
+  private static boolean isControl(String target) {
+    String decoded = target;
+    while (ENCODED.matcher(decoded).find()) {
+      decoded = ENCODED.matcher(decoded).replaceAll(RequestChecker::decode);
+    }
+    return decoded.toLowerCase(Locale.ROOT).contains(CONTROL);
+  }
+
+  private static String decode(MatchResult encoded) {
+    char character = (char) Integer.parseInt(encoded.group(1), 16);
+    return Matcher.quoteReplacement(String.valueOf(character));
+  }
+
   private static Optional<String> bearerToken(HeaderMap headers) {
     return first(headers, Headers.AUTHORIZATION)
         .filter(value -> value.startsWith(BEARER))
--- a/router/src/main/java/dev/hornbeamwheel/router/http/RequestProblem.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/http/RequestProblem.java
@@ -14,6 +14,8 @@
   SERVICE_NOT_IN_CONTRACT(403, "ask the operators to add the service to the contract"),
   /** No such service is declared. */
   UNKNOWN_SERVICE(404, "call /SERVICE/PATH with the name of a declared service"),
+  /** The path is reserved for the control of upstreams. */
+  RESERVED_PATH(404, "call a path outside /.well-known/hornbeamwheel"),
   /** A keyed service was called without a key. */
   MISSING_KEY(400, "name the key in the header Hbw-Key"),
   /** The key is too long. */
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptRequests.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptRequests.java
@@ -33,7 +33,12 @@
   /** Returns the request that cancels an attempt at the upstream. */
   static Request cancellation(AttemptSpec spec) {
     return new Request.Builder()
-        .url(HttpUrl.get("http://" + spec.address() + "/requests/" + spec.requestId()))
+        .url(
+            HttpUrl.get(
+                "http://"
+                    + spec.address()
+                    + "/.well-known/hornbeamwheel/requests/"
+                    + spec.requestId()))
         .delete()
         .build();
   }
--- a/router/src/test/java/dev/hornbeamwheel/router/http/CallerHandlerTest.java
+++ b/router/src/test/java/dev/hornbeamwheel/router/http/CallerHandlerTest.java
@@ -33,6 +33,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class CallerHandlerTest {
   private static final String TOKEN = "example-token";
@@ -112,6 +113,17 @@
     assertRefused(lookup().url(base + "/elsewhere/x").build(), 404, "unknown-service");
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "/.well-known/hornbeamwheel/orders",
+        "/a/%2e%2Ewell-known/%2ewell-known/hornbeamwheel/orders",
+        "/%252ewell-known/HORNBEAMWHEEL/orders",
+      })
+  void refusesPathsThatLeadToTheControlOfUpstreams(String path) throws IOException {
+    assertRefused(lookup().url(base + "/stock-ledger" + path).build(), 404, "reserved-path");
+  }
+
   @Test
   void refusesAServiceThatTheContractLacks() throws IOException {
     Request request = lookup().url(base + "/order-desk/x").build();
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/loop/EventLoop.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/loop/EventLoop.java
@@ -40,6 +40,7 @@
   private final ScheduledThreadPoolExecutor executor;
   private final LoopLag lag;
   private EffectPerformer<F> performer;
+  private volatile boolean started;
 
   private EventLoop(Reducer<E, F> reducer, Clock clock, ScheduledThreadPoolExecutor executor) {
     this.reducer = reducer;
@@ -66,15 +67,16 @@
    */
   public void start(EffectPerformer<F> performer, LongFunction<? extends E> tick) {
     executor.execute(() -> this.performer = performer);
+    started = true;
     // The task catches its own failures, so its future tells nothing.
     var unused =
         executor.scheduleWithFixedDelay(
             () -> tick(tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** Hands over an event from any thread; ignored once the loop is closed. */
+  /** Hands over an event from any thread; ignored before the loop starts and once it is closed. */
   public void post(LongFunction<? extends E> event) {
-    if (!executor.isShutdown()) {
+    if (started && !executor.isShutdown()) {
       executor.execute(() -> reduce(event));
     }
   }
--- a/runtime/src/test/java/dev/hornbeamwheel/runtime/loop/EventLoopTest.java
+++ b/runtime/src/test/java/dev/hornbeamwheel/runtime/loop/EventLoopTest.java
@@ -42,6 +42,17 @@
     }
   }
 
+  @Test
+  void ignoresEventsBeforeItStarts() throws InterruptedException {
+    try (EventLoop<Event, String> loop =
+        EventLoop.create("test", event -> List.of(event.name()), ManualClock.startingAt(0))) {
+      loop.post(now -> new Event(now, "early"));
+      loop.start(performed::add, now -> new Event(now, "tick"));
+
+      assertThat(performed.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).isEqualTo("tick");
+    }
+  }
+
   @Test
   void ignoresEventsOnceClosed() {
     EventLoop<Event, String> loop =
--- a/standins/src/main/java/dev/hornbeamwheel/standins/upstream/ControlHandlers.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/upstream/ControlHandlers.java
@@ -24,7 +24,8 @@
 
 /** Serves orders, load, health and cancellation. */
 final class ControlHandlers {
-  private static final String REQUESTS = "/requests";
+  private static final String CONTROL = "/.well-known/hornbeamwheel";
+  private static final String REQUESTS = CONTROL + "/requests";
 
   /** Types of order lack fields of each other, so absent ones are no fault. */
   private static final ObjectMapper ORDERS = ModelJson.lenientMapper();
@@ -53,9 +54,9 @@
   /** Returns the paths of control; every other one goes to {@code requests}. */
   HttpHandler before(HttpHandler requests) {
     return new PathHandler(requests)
-        .addExactPath("/orders", this::orders)
-        .addExactPath("/load", exchange -> gated(exchange, () -> load(exchange)))
-        .addExactPath("/health", this::health)
+        .addExactPath(CONTROL + "/orders", this::orders)
+        .addExactPath(CONTROL + "/load", exchange -> gated(exchange, () -> load(exchange)))
+        .addExactPath(CONTROL + "/health", this::health)
         .addPrefixPath(REQUESTS, exchange -> gated(exchange, () -> cancel(exchange)));
   }
 
