Fuzz ownership over a fake network, table and upstreams

Cause: the reducer had no test. The first draws found real faults of the new code. Found and mended: a controller back from a cut took a yielding cell over although it had a leader (a seal reply now tells that a promise is in force); a change of the term number dropped the evidence of not being isolated (now kept per number); an even number of voters fails as early as one less (now odd). The oracle of isolated keys compared with the present epoch instead of the first one of the isolation, and so refused a correct move; it now compares with the first.

--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/Candidacy.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Candidacy.java
@@ -91,7 +91,10 @@
     if (election != null && dueHeartbeat(now)) {
       request(row);
     }
-    if (leading && seen.number() == row.number() && seen.isAfter(election.term())) {
+    if (leading
+        && election != null
+        && seen.number() == row.number()
+        && seen.isAfter(election.term())) {
       overtake(row, now);
     }
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/Cell.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Cell.java
@@ -14,7 +14,9 @@
 import dev.hornbeamwheel.core.ownership.OwnershipMessage.SealReply;
 import dev.hornbeamwheel.core.ownership.OwnershipMessage.SealRequest;
 import dev.hornbeamwheel.core.ownership.OwnershipMessage.StoreRow;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** One controller's part in one cell: voter, candidate, leader, or reader of its row. */
@@ -41,7 +43,7 @@
   private Leader leader;
   private boolean absent;
   private long readAt = NEVER;
-  private long platformSeenAt = NEVER;
+  private final Map<Long, Long> platformSeenAt = new HashMap<>();
   private long closedNumber;
   private int closeRepeats;
 
@@ -69,7 +71,7 @@
   }
 
   boolean leads(long now) {
-    return leader != null && held(now) && connectedNow(now);
+    return leader != null && leadsDeclared(now);
   }
 
   void tick(Service service, long now) {
@@ -111,9 +113,12 @@
     }
   }
 
-  private boolean held(long now) {
-    return candidacy.election().filter(e -> holds(e, now)).isPresent()
-        || candidacy.earlier(now).filter(e -> holds(e, now)).isPresent();
+  /** Returns the candidacy whose term is led, while its lease lasts. */
+  private Optional<Election> held(long now) {
+    return candidacy
+        .election()
+        .filter(e -> holds(e, now))
+        .or(() -> candidacy.earlier(now).filter(e -> holds(e, now)));
   }
 
   private boolean holds(Election election, long now) {
@@ -121,25 +126,33 @@
   }
 
   private boolean leading(Service service, long now) {
-    return held(now) && connected(service, now);
+    return held(now).filter(e -> connected(service, e, now)).isPresent();
   }
 
-  private boolean connectedNow(long now) {
-    return context.topology().service(id.service()).filter(s -> connected(s, now)).isPresent();
+  private boolean leadsDeclared(long now) {
+    return context.topology().service(id.service()).filter(s -> leading(s, now)).isPresent();
   }
 
   /** Returns whether a service that yields may go on, having heard from outside lately. */
-  private boolean connected(Service service, long now) {
+  private boolean connected(Service service, Election election, long now) {
     return service.isolation() == Isolation.KEEP_SERVING
-        || now < platformSeenAt + Drift.shrink(context.options().yieldAfterMillis())
-        || candidacy.election().filter(e -> e.witnessed(now, context.options())).isPresent();
+        || now < seenAt(election) + Drift.shrink(context.options().yieldAfterMillis())
+        || election.witnessed(now, context.options());
+  }
+
+  /** Returns since when the platform has surely held the term number of a candidacy. */
+  private long seenAt(Election election) {
+    return platformSeenAt.getOrDefault(election.term().number(), NEVER);
   }
 
   private void watchIsolation(Service service, long now) {
-    if (service.isolation() == Isolation.YIELD
-        && candidacy.won(now)
-        && now - platformSeenAt >= EVIDENCE_MILLIS
-        && candidacy.election().filter(e -> e.witnessed(now, context.options())).isEmpty()) {
+    boolean unseen =
+        candidacy
+            .election()
+            .filter(e -> e.won(now, context.options()) && !e.witnessed(now, context.options()))
+            .filter(e -> now - seenAt(e) >= EVIDENCE_MILLIS)
+            .isPresent();
+    if (unseen && service.isolation() == Isolation.YIELD) {
       store.read(now);
     }
   }
@@ -189,7 +202,9 @@
         election != null
             && (election.majorityVersion() >= row.version()
                 || context.shortcut() == Shortcut.NO_REPLICATION);
-    if (!replicated || !sealing.settled(row.unsealed(), service, now) || !connected(service, now)) {
+    if (!replicated
+        || !sealing.settled(row.unsealed(), service, now)
+        || !connected(service, election, now)) {
       return;
     }
     if (leader == null) {
@@ -262,14 +277,19 @@
     absent = startedAt.isPresent() && result instanceof RowReadResult.Absent;
     if (result instanceof RowReadResult.Found found) {
       learn(found.row(), store.wrote(found.row()), now);
-      if (startedAt.isPresent() && vote.row().get().number() == found.row().number()) {
-        platformSeenAt = Math.max(platformSeenAt, startedAt.get());
-      }
+      startedAt.ifPresent(at -> platformSeenAt.merge(found.row().number(), at, Math::max));
     }
   }
 
   void written(String operationId, RowWriteResult result, long now) {
-    store.written(operationId, result, now).ifPresent(row -> learn(row, true, now));
+    long startedAt = store.writtenAt();
+    store
+        .written(operationId, result, now)
+        .ifPresent(
+            row -> {
+              platformSeenAt.merge(row.number(), startedAt, Math::max);
+              learn(row, true, now);
+            });
   }
 
   PromiseReply promise(Voter candidate, PromiseRequest request, long now) {
@@ -295,18 +315,18 @@
         .ifPresent(e -> e.stored(voter, message.version()));
   }
 
-  void sealRequested(MemberId from, SealRequest request) {
+  void sealRequested(MemberId from, SealRequest request, long now) {
     if (request.to().equals(context.self().incarnation())) {
       vote.seal(request.number());
     }
     List<String> claims = context.claims().claims(id);
-    send(from, new SealReply(request.to(), id, request.number(), claims));
+    send(from, new SealReply(request.to(), id, request.number(), vote.held(now), claims));
   }
 
   /** Notes the seal of a voter; one of another incarnation than asked can promise no more. */
   void sealReplied(Voter replier, SealReply reply, long now) {
     Voter asked = new Voter(replier.member(), reply.to());
-    liveness.answered(asked, replier, now);
+    liveness.answered(asked, replier, reply.led(), now);
     sealing.sealed(asked, reply.number());
     if (reply.number() > 0 && replier.equals(asked)) {
       context.outbox().add(new OwnershipEffect.ClaimsReceived(id, reply.number(), reply.claims()));
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/Leader.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Leader.java
@@ -17,7 +17,7 @@
 /** Acts on the row in force: renews leases, releases slices and grants them. */
 final class Leader {
   /** Time after which a release or grant is sent again, in milliseconds. */
-  private static final long CHANGE_RETRY_MILLIS = 100;
+  private static final long CHANGE_RETRY_MILLIS = 50;
 
   /** Time that the upstreams have to reply to a new leader before it plans, in milliseconds. */
   private static final long CONTACT_MILLIS = 200;
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/Liveness.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Liveness.java
@@ -23,6 +23,7 @@
   private final Context context;
   private final CellId cell;
   private final Map<Voter, Long> answeredAt = new HashMap<>();
+  private final Map<Voter, Long> ledAt = new HashMap<>();
   private final Set<Voter> restarted = new HashSet<>();
   private long probedAt = -PROBE_MILLIS;
 
@@ -47,9 +48,14 @@
   }
 
   /** Notes that a controller answered a request that was addressed to a voter. */
-  void answered(Voter asked, Voter replier, long now) {
+  void answered(Voter asked, Voter replier, boolean led, long now) {
     if (asked.equals(replier)) {
       answeredAt.put(asked, now);
+      if (led) {
+        ledAt.put(asked, now);
+      } else {
+        ledAt.remove(asked);
+      }
     } else {
       restarted.add(asked);
     }
@@ -64,10 +70,12 @@
     return majority(voters, voters.stream().filter(voter -> alive(voter, now)).count());
   }
 
-  /** Returns whether a majority is dead or answers, so that it could be sealed. */
+  /** Returns whether a majority is dead or answers and none of them has a leader. */
   boolean sealable(List<Voter> voters, long now) {
-    return majority(
-        voters, voters.stream().filter(voter -> dead(voter) || answers(voter, now)).count());
+    boolean led = voters.stream().anyMatch(voter -> recent(ledAt.get(voter), now));
+    return !led
+        && majority(
+            voters, voters.stream().filter(voter -> dead(voter) || answers(voter, now)).count());
   }
 
   private boolean alive(Voter voter, long now) {
@@ -75,7 +83,10 @@
   }
 
   private boolean answers(Voter voter, long now) {
-    Long at = answeredAt.get(voter);
+    return recent(answeredAt.get(voter), now);
+  }
+
+  private static boolean recent(Long at, long now) {
     return at != null && now - at <= ANSWER_MILLIS;
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/NumberChange.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/NumberChange.java
@@ -11,10 +11,10 @@
 /** Decides when the voters or the home of a cell have to change, which takes a new term number. */
 final class NumberChange {
   /** Time for which a cell must be without a leader before its voters are replaced, in ms. */
-  private static final long VACANT_MILLIS = 300;
+  private static final long VACANT_MILLIS = 100;
 
   /** Delay between controllers of adjacent rank, in milliseconds. */
-  private static final long STAGGER_MILLIS = 250;
+  private static final long STAGGER_MILLIS = 150;
 
   /** Rank of a controller that is not live in its own view. */
   private static final int UNRANKED = 1_000_000;
@@ -71,14 +71,15 @@
 
   private boolean fit(Service service, CellRow row) {
     Topology topology = context.topology();
-    int possible = Math.min(context.options().voters(), topology.ranked(cell, row.home()).size());
+    List<Voter> ideal = topology.idealVoters(cell, row.home(), row.voters());
+    boolean betterVoters =
+        (ideal.size() >= row.voters().size() && !ideal.containsAll(row.voters()))
+            || ideal.size() > row.voters().size();
     boolean witnessed =
         service.isolation() == Isolation.KEEP_SERVING
             || (!row.witnesses().isEmpty() && majorityAlive(row.witnesses()))
             || topology.witnesses(cell, row.home()).isEmpty();
-    return row.voters().stream().allMatch(topology::alive)
-        && row.voters().size() >= possible
-        && witnessed;
+    return !betterVoters && witnessed;
   }
 
   private boolean majorityAlive(List<Voter> group) {
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipMessage.java
@@ -88,9 +88,10 @@
    * @param to repeated from the request; a sender of another incarnation tells that it restarted
    * @param cell the cell
    * @param number repeated from the request
+   * @param led whether a promise of the voter is in force, so that the cell has a leader
    * @param claims what the voter knows of idempotency keys of the cell, opaque to this part
    */
-  record SealReply(Incarnation to, CellId cell, long number, List<String> claims)
+  record SealReply(Incarnation to, CellId cell, long number, boolean led, List<String> claims)
       implements OwnershipMessage {}
 
   /**
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipReducer.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/OwnershipReducer.java
@@ -128,7 +128,7 @@
     } else if (message instanceof RowStored stored) {
       cell(stored.cell()).stored(from, stored);
     } else if (message instanceof SealRequest request) {
-      cell(request.cell()).sealRequested(from.member(), request);
+      cell(request.cell()).sealRequested(from.member(), request, now);
     } else if (message instanceof SealReply reply) {
       cell(reply.cell()).sealReplied(from, reply, now);
     } else if (message instanceof HandOver handOver) {
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/RowStore.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/RowStore.java
@@ -52,6 +52,11 @@
     context.outbox().add(new OwnershipEffect.WriteRow(cell, row.version() - 1, row));
   }
 
+  /** Returns when the latest write was started. */
+  long writtenAt() {
+    return writtenAt;
+  }
+
   /** Returns whether this start of this controller wrote a row. */
   boolean wrote(CellRow row) {
     Voter self = context.self();
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/Topology.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Topology.java
@@ -32,6 +32,7 @@
   private Set<Voter> gone = Set.of();
   private final Map<DataCentreId, Long> peopledSince = new HashMap<>();
   private final Map<DataCentreId, Long> emptySince = new HashMap<>();
+  private final Map<CellId, Map<String, Long>> weights = new HashMap<>();
   private final Map<ServiceId, Service> services = new HashMap<>();
   private final Map<ServiceId, List<Upstream>> upstreams = new HashMap<>();
 
@@ -158,26 +159,37 @@
         .toList();
   }
 
-  /** Returns the voters to have: the present ones that live, filled up with the best ranked. */
+  /**
+   * Returns the voters to have: the present ones that live, filled up with the best ranked.
+   *
+   * <p>Their number is odd, because one more would not let one more of them fail.
+   */
   List<Voter> idealVoters(CellId cell, DataCentreId home, List<Voter> present) {
     Set<Voter> kept = new HashSet<>(present);
     kept.retainAll(live.getOrDefault(home, List.of()));
-    return Stream.concat(sorted(cell, kept).stream(), ranked(cell, home).stream())
-        .distinct()
-        .limit(options.voters())
-        .toList();
+    List<Voter> all =
+        Stream.concat(sorted(cell, kept).stream(), ranked(cell, home).stream())
+            .distinct()
+            .limit(options.voters())
+            .toList();
+    return all.size() % 2 == 0 && !all.isEmpty() ? all.subList(0, all.size() - 1) : all;
   }
 
   private String name(Voter voter) {
     return voter.member().value();
   }
 
-  private static <T> Comparator<T> byWeight(CellId cell, Function<T, String> name) {
+  private <T> Comparator<T> byWeight(CellId cell, Function<T, String> name) {
     return Comparator.comparingLong((T item) -> weight(cell, name.apply(item))).thenComparing(name);
   }
 
-  private static long weight(CellId cell, String name) {
-    byte[] bytes = (cell + "|" + name).getBytes(StandardCharsets.UTF_8);
-    return MurmurHash3.hash128x64(bytes)[0];
+  private long weight(CellId cell, String name) {
+    return weights
+        .computeIfAbsent(cell, key -> new HashMap<>())
+        .computeIfAbsent(name, key -> hash(cell + "|" + key));
+  }
+
+  private static long hash(String text) {
+    return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
   }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/VoterState.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/VoterState.java
@@ -54,7 +54,12 @@
 
   /** Returns whether a promise to another controller is in force. */
   boolean heldByOther(long now) {
-    return holder != null && !holder.equals(self) && now < expiresAt;
+    return held(now) && !holder.equals(self);
+  }
+
+  /** Returns whether a promise to any controller is in force. */
+  boolean held(long now) {
+    return holder != null && now < expiresAt;
   }
 
   PromiseReply promise(Voter candidate, PromiseRequest request, long now, long leaseMillis) {
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/ownership/FakeCluster.java
@@ -0,0 +1,477 @@
+package dev.hornbeamwheel.core.ownership;
+
+import dev.hornbeamwheel.core.config.Configuration;
+import dev.hornbeamwheel.core.config.Declarations;
+import dev.hornbeamwheel.core.config.Service;
+import dev.hornbeamwheel.core.config.Upstream;
+import dev.hornbeamwheel.core.model.CellId;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.Incarnation;
+import dev.hornbeamwheel.core.model.MemberId;
+import dev.hornbeamwheel.core.model.Slice;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.LongFunction;
+import java.util.stream.Collectors;
+
+/**
+ * Several reducers in virtual time, with a network, a table and upstreams that can be disturbed.
+ */
+final class FakeCluster {
+  static final String PLATFORM = "platform";
+
+  private record Timed(long at, long order, Runnable action) implements Comparable<Timed> {
+    @Override
+    public int compareTo(Timed other) {
+      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+    }
+  }
+
+  private final Random random;
+  private final Shortcut shortcut;
+  private final OwnershipOptions options = OwnershipOptions.standard();
+  private final PriorityQueue<Timed> queue = new PriorityQueue<>();
+  private final Map<String, FakeMember> members = new TreeMap<>();
+  private final Map<UpstreamId, FakeUpstream> upstreams = new TreeMap<>();
+  private final Map<String, DataCentreId> places = new HashMap<>();
+  private final Set<String> stoppedNodes = new TreeSet<>();
+  private final Set<String> cuts = new HashSet<>();
+  private final Set<Voter> gone = new HashSet<>();
+  private final Map<String, List<Runnable>> frozen = new HashMap<>();
+  private final FakeTable table = new FakeTable();
+  private final Oracles oracles = new Oracles(this);
+  private final Map<Long, Configuration> versions = new TreeMap<>();
+  private Configuration configuration = Configuration.initial();
+  private long now;
+  private long order;
+  private long incarnations;
+  private boolean tableDown;
+  private boolean tableSlow;
+  private boolean tableLosesAnswers;
+  private boolean lossy;
+  private int tableWrites;
+
+  FakeCluster(long seed, Shortcut shortcut) {
+    this.random = new Random(seed);
+    this.shortcut = shortcut;
+  }
+
+  long now() {
+    return now;
+  }
+
+  Oracles oracles() {
+    return oracles;
+  }
+
+  Map<String, FakeMember> members() {
+    return members;
+  }
+
+  Map<UpstreamId, FakeUpstream> upstreams() {
+    return upstreams;
+  }
+
+  FakeTable table() {
+    return table;
+  }
+
+  int tableWrites() {
+    return tableWrites;
+  }
+
+  Declarations declarations() {
+    return configuration.declarations();
+  }
+
+  /** Starts a controller, or starts it anew with another incarnation. */
+  void start(String name, DataCentreId dataCentre) {
+    Voter id = new Voter(MemberId.of(name), Incarnation.of(++incarnations));
+    FakeClock clock = new FakeClock(random.nextInt(100_000), 0.99 + random.nextInt(201) / 10_000.0);
+    Context context =
+        new Context(
+            id, dataCentre, options, new SpreadPolicy(), cell -> List.of(), incarnations, shortcut);
+    FakeMember member = new FakeMember(id, dataCentre, OwnershipReducer.create(context), clock);
+    members.put(name, member);
+    places.put(name, dataCentre);
+    stoppedNodes.remove(name);
+    tick(member, random.nextInt(50));
+  }
+
+  private void tick(FakeMember member, long delay) {
+    at(
+        delay,
+        () -> {
+          if (members.get(member.id.member().value()) == member) {
+            if (!member.paused) {
+              deliver(member, new OwnershipEvent.Tick(local(member)));
+            }
+            tick(member, options.tickMillis());
+          }
+        });
+  }
+
+  void add(Upstream upstream, Service service) {
+    FakeClock clock = new FakeClock(random.nextInt(100_000), 0.99 + random.nextInt(201) / 10_000.0);
+    upstreams.put(
+        upstream.id(),
+        new FakeUpstream(upstream.id(), service.fencing(), clock, random.nextInt(40)));
+    places.put(upstream.id().value(), upstream.dataCentre());
+  }
+
+  /** Puts declarations in force; each member learns of them from its peers or the platform. */
+  void apply(Declarations declarations) {
+    configuration = new Configuration(configuration.version() + 1, declarations);
+    versions.put(configuration.version(), configuration);
+    oracles.configured();
+  }
+
+  /** Starts the membership, the configuration relay and the ticks of the oracles. */
+  void begin() {
+    every(200, this::relayConfiguration);
+    every(200, this::refreshMembership);
+    every(10, oracles::observe);
+  }
+
+  private void every(long millis, Runnable action) {
+    at(
+        millis,
+        () -> {
+          action.run();
+          every(millis, action);
+        });
+  }
+
+  private void relayConfiguration() {
+    Map<FakeMember, Long> reached = new HashMap<>();
+    for (FakeMember member : running()) {
+      long version = linked(PLATFORM, name(member)) && !tableDown ? configuration.version() : 0;
+      for (FakeMember peer : running()) {
+        version = linked(name(peer), name(member)) ? Math.max(version, peer.configured) : version;
+      }
+      reached.put(member, version);
+    }
+    for (FakeMember member : running()) {
+      long version = reached.get(member);
+      if (version > member.configured) {
+        member.configured = version;
+        deliver(
+            member, new OwnershipEvent.ConfigurationChanged(local(member), versions.get(version)));
+      }
+    }
+  }
+
+  private void refreshMembership() {
+    for (FakeMember member : running()) {
+      Map<DataCentreId, List<Voter>> seen =
+          running().stream()
+              .filter(peer -> linked(name(peer), name(member)))
+              .filter(peer -> linked(name(member), name(peer)))
+              .collect(
+                  Collectors.groupingBy(
+                      peer -> peer.dataCentre,
+                      TreeMap::new,
+                      Collectors.mapping(peer -> peer.id, Collectors.toList())));
+      if (!seen.equals(member.view)) {
+        member.view = seen;
+        later(
+            member, 100, local -> new OwnershipEvent.MembersChanged(local, seen, Set.copyOf(gone)));
+      }
+    }
+  }
+
+  private List<FakeMember> running() {
+    return members.values().stream()
+        .filter(member -> !member.paused && !stoppedNodes.contains(name(member)))
+        .toList();
+  }
+
+  static String name(FakeMember member) {
+    return member.id.member().value();
+  }
+
+  private long local(FakeMember member) {
+    return member.clock.read(now);
+  }
+
+  private boolean linked(String from, String to) {
+    return !cuts.contains(from + ">" + to);
+  }
+
+  void at(long delay, Runnable action) {
+    queue.add(new Timed(now + delay, order++, action));
+  }
+
+  /** Lets virtual time pass. */
+  void run(long millis) {
+    long end = now + millis;
+    while (!queue.isEmpty() && queue.peek().at <= end) {
+      Timed next = queue.poll();
+      now = next.at;
+      next.action.run();
+    }
+    now = end;
+  }
+
+  private void later(FakeMember member, long delay, LongFunction<OwnershipEvent> event) {
+    at(delay, () -> whenRunning(member, event));
+  }
+
+  private void whenRunning(FakeMember member, LongFunction<OwnershipEvent> event) {
+    if (member.paused) {
+      member.deferred.add(unused -> deliver(member, event.apply(local(member))));
+    } else {
+      deliver(member, event.apply(local(member)));
+    }
+  }
+
+  private void deliver(FakeMember member, OwnershipEvent event) {
+    if (members.get(name(member)) == member && !stoppedNodes.contains(name(member))) {
+      member.reducer.reduce(event).forEach(effect -> perform(member, effect));
+    }
+  }
+
+  private void perform(FakeMember member, OwnershipEffect effect) {
+    if (effect instanceof OwnershipEffect.Send send) {
+      String to = send.to().value();
+      transmit(
+          name(member),
+          to,
+          () -> {
+            FakeMember receiver = members.get(to);
+            if (receiver != null) {
+              whenRunning(
+                  receiver,
+                  local ->
+                      new OwnershipEvent.Received(
+                          local, member.id.member(), member.id.incarnation(), send.message()));
+            }
+          });
+    } else if (effect instanceof OwnershipEffect.Order sent) {
+      order(member, sent);
+    } else if (effect instanceof OwnershipEffect.ReadRow read) {
+      read(member, read);
+    } else if (effect instanceof OwnershipEffect.WriteRow write) {
+      write(member, write);
+    } else if (effect instanceof OwnershipEffect.Log log) {
+      trace(name(member) + " " + log.decision());
+    } else if (effect instanceof OwnershipEffect.RowPublished published) {
+      oracles.acknowledged(published.row());
+      members.values().stream()
+          .filter(peer -> peer != member)
+          .forEach(peer -> gossip(member, peer, published.row()));
+    }
+  }
+
+  /** Prints what happened, if the system property {@code trace} is set. */
+  void trace(String text) {
+    if (Boolean.getBoolean("trace")) {
+      System.out.println(now + " ms: " + text);
+    }
+  }
+
+  private void gossip(FakeMember from, FakeMember to, CellRow row) {
+    transmit(
+        name(from),
+        name(to),
+        () -> whenRunning(to, local -> new OwnershipEvent.RowLearned(local, row)));
+  }
+
+  /** Carries something over the network, which may drop, delay, double or reorder it. */
+  private void transmit(String from, String to, Runnable arrival) {
+    if (!linked(from, to) || (lossy && random.nextInt(5) == 0)) {
+      return;
+    }
+    long delay = places.get(from).equals(places.get(to)) ? 1 : 2;
+    at(lossy && random.nextInt(8) == 0 ? random.nextInt(2500) : delay, arrival);
+    if (lossy && random.nextInt(8) == 0) {
+      at(random.nextInt(2500), arrival);
+    }
+  }
+
+  private void order(FakeMember member, OwnershipEffect.Order sent) {
+    String to = sent.upstream().value();
+    transmit(name(member), to, () -> whenThawed(to, () -> obey(member, sent)));
+  }
+
+  private void whenThawed(String upstream, Runnable action) {
+    if (frozen.containsKey(upstream)) {
+      frozen.get(upstream).add(action);
+    } else if (!stoppedNodes.contains(upstream)) {
+      action.run();
+    }
+  }
+
+  private void obey(FakeMember member, OwnershipEffect.Order sent) {
+    UpstreamReply reply = upstreams.get(sent.upstream()).obey(sent.order(), now);
+    if (sent.order() instanceof UpstreamOrder.Replace replace
+        && reply.outcome() == UpstreamReply.Outcome.DONE) {
+      oracles.granted(sent.upstream(), replace);
+    }
+    transmit(
+        sent.upstream().value(),
+        name(member),
+        () ->
+            whenRunning(
+                member,
+                local -> new OwnershipEvent.UpstreamReplied(local, sent.upstream(), reply)));
+  }
+
+  private void read(FakeMember member, OwnershipEffect.ReadRow read) {
+    if (!reachable(member)) {
+      later(
+          member,
+          50,
+          local ->
+              new OwnershipEvent.RowRead(
+                  local, read.cell(), read.readId(), new RowReadResult.Unavailable()));
+      return;
+    }
+    at(
+        tableDelay(),
+        () -> {
+          RowReadResult result = table.read(read.cell());
+          later(
+              member,
+              tableDelay(),
+              local -> new OwnershipEvent.RowRead(local, read.cell(), read.readId(), result));
+        });
+  }
+
+  private boolean reachable(FakeMember member) {
+    return !tableDown && linked(name(member), PLATFORM) && linked(PLATFORM, name(member));
+  }
+
+  private long tableDelay() {
+    return tableSlow ? random.nextInt(1200) : 2;
+  }
+
+  private void write(FakeMember member, OwnershipEffect.WriteRow write) {
+    boolean takesEffect = !tableDown && linked(name(member), PLATFORM);
+    boolean lost = tableLosesAnswers || !linked(PLATFORM, name(member));
+    at(
+        tableDelay(),
+        () -> {
+          RowWriteResult result =
+              takesEffect
+                  ? table.write(write.row(), write.expectedVersion())
+                  : new RowWriteResult.Unavailable();
+          tableWrites++;
+          trace(name(member) + " wrote " + write.row() + " " + result);
+          RowWriteResult told = lost && takesEffect ? new RowWriteResult.Unknown() : result;
+          later(
+              member,
+              tableDelay(),
+              local ->
+                  new OwnershipEvent.RowWritten(
+                      local, write.cell(), write.row().operationId(), told));
+        });
+  }
+
+  /** Cuts or restores the way from each of some nodes to each of others. */
+  void link(Set<String> from, Set<String> to, boolean up) {
+    for (String a : from) {
+      for (String b : to) {
+        if (!a.equals(b)) {
+          if (up) {
+            cuts.remove(a + ">" + b);
+          } else {
+            cuts.add(a + ">" + b);
+          }
+        }
+      }
+    }
+  }
+
+  /** Returns all members and upstreams of a data centre, or of all if it is null. */
+  Set<String> nodes(DataCentreId dataCentre) {
+    return places.entrySet().stream()
+        .filter(entry -> dataCentre == null || entry.getValue().equals(dataCentre))
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
+
+  void pause(String name, boolean paused) {
+    FakeMember member = members.get(name);
+    if (member == null) {
+      return;
+    }
+    member.paused = paused;
+    if (!paused) {
+      List<java.util.function.Consumer<Long>> waiting = List.copyOf(member.deferred);
+      member.deferred.clear();
+      waiting.forEach(each -> each.accept(now));
+    }
+  }
+
+  /** Ends a controller or an upstream at once. */
+  void kill(String name) {
+    stoppedNodes.add(name);
+  }
+
+  /** Lets a killed node be known as switched off for good. */
+  void forget(String name) {
+    gone.add(members.get(name).id);
+    members.values().forEach(member -> member.view = Map.of());
+  }
+
+  void stopGracefully(String name) {
+    FakeMember member = members.get(name);
+    whenRunning(member, OwnershipEvent.StopRequested::new);
+  }
+
+  void report(Map<Slice, Double> load, Service service) {
+    running()
+        .forEach(m -> deliver(m, new OwnershipEvent.LoadReported(local(m), service.id(), load)));
+  }
+
+  void restartUpstream(String name) {
+    stoppedNodes.remove(name);
+    upstreams.get(UpstreamId.of(name)).restart();
+  }
+
+  void freeze(String upstream, boolean on) {
+    if (on) {
+      frozen.putIfAbsent(upstream, new ArrayList<>());
+    } else if (frozen.containsKey(upstream)) {
+      frozen.remove(upstream).forEach(action -> whenThawed(upstream, action));
+    }
+  }
+
+  boolean stopped(String node) {
+    return stoppedNodes.contains(node);
+  }
+
+  void tableDown(boolean on) {
+    tableDown = on;
+  }
+
+  void tableSlow(boolean on) {
+    tableSlow = on;
+  }
+
+  void tableLosesAnswers(boolean on) {
+    tableLosesAnswers = on;
+  }
+
+  void lossy(boolean on) {
+    lossy = on;
+  }
+
+  /** Returns the running member that leads a cell; null if there is none. */
+  FakeMember leaderOf(CellId cell) {
+    return running().stream()
+        .filter(member -> member.reducer.leads(cell, local(member)))
+        .findFirst()
+        .orElse(null);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/ownership/Fault.java
@@ -0,0 +1,176 @@
+package dev.hornbeamwheel.core.ownership;
+
+import dev.hornbeamwheel.core.config.Declarations;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/**
+ * A fault with its end.
+ *
+ * @param kind what happens
+ * @param target chooses the member, upstream or data centre that it happens to
+ * @param atMillis when it begins
+ * @param forMillis how long it lasts
+ */
+record Fault(Kind kind, int target, int atMillis, int forMillis) {
+  enum Kind {
+    CUT_MEMBER,
+    CUT_MEMBER_OUTWARDS,
+    CUT_MEMBER_INWARDS,
+    CUT_MEMBER_FROM_PLATFORM,
+    CUT_DATA_CENTRE,
+    CUT_DATA_CENTRE_FROM_PLATFORM,
+    CUT_UPSTREAM,
+    CUT_UPSTREAM_REPLIES,
+    PAUSE_MEMBER,
+    PAUSE_LEADER,
+    RESTART_MEMBER,
+    RESTART_LEADER,
+    REPLACE_MEMBER,
+    STOP_MEMBER,
+    FREEZE_UPSTREAM,
+    RESTART_UPSTREAM,
+    TABLE_DOWN,
+    TABLE_SLOW,
+    TABLE_LOSES_ANSWERS,
+    NETWORK_LOSSY,
+    DRAIN_UPSTREAM,
+    DRAIN_DATA_CENTRE,
+    LOSE_DATA_CENTRE
+  }
+
+  void schedule(FakeCluster cluster) {
+    Runnable[] end = new Runnable[1];
+    cluster.at(atMillis, () -> end[0] = begin(cluster));
+    cluster.at(atMillis + forMillis, () -> end[0].run());
+  }
+
+  private Runnable begin(FakeCluster cluster) {
+    String member = pick(cluster.members().keySet().stream());
+    UpstreamId upstream = pick(cluster.upstreams().keySet().stream());
+    DataCentreId place = pick(Sites.DATA_CENTRES.stream());
+    Set<String> all = cluster.nodes(null);
+    all.add(FakeCluster.PLATFORM);
+    return switch (kind) {
+      case CUT_MEMBER -> cut(cluster, Set.of(member), all, true);
+      case CUT_MEMBER_OUTWARDS -> cut(cluster, Set.of(member), all, false);
+      case CUT_MEMBER_INWARDS -> cut(cluster, all, Set.of(member), false);
+      case CUT_MEMBER_FROM_PLATFORM ->
+          cut(cluster, Set.of(member), Set.of(FakeCluster.PLATFORM), target % 2 == 0);
+      case CUT_DATA_CENTRE -> {
+        all.removeAll(cluster.nodes(place));
+        yield cut(cluster, cluster.nodes(place), all, true);
+      }
+      case CUT_DATA_CENTRE_FROM_PLATFORM ->
+          cut(cluster, cluster.nodes(place), Set.of(FakeCluster.PLATFORM), true);
+      case CUT_UPSTREAM -> cut(cluster, Set.of(upstream.value()), all, true);
+      case CUT_UPSTREAM_REPLIES -> cut(cluster, Set.of(upstream.value()), all, false);
+      case PAUSE_MEMBER -> pause(cluster, member);
+      case PAUSE_LEADER -> pause(cluster, leader(cluster, member));
+      case RESTART_MEMBER -> restart(cluster, member);
+      case RESTART_LEADER -> restart(cluster, leader(cluster, member));
+      case REPLACE_MEMBER -> replace(cluster, member);
+      case STOP_MEMBER -> stop(cluster, leader(cluster, member));
+      case FREEZE_UPSTREAM -> toggle(on -> cluster.freeze(upstream.value(), on));
+      case RESTART_UPSTREAM -> {
+        cluster.kill(upstream.value());
+        yield () -> cluster.restartUpstream(upstream.value());
+      }
+      case TABLE_DOWN -> toggle(cluster::tableDown);
+      case TABLE_SLOW -> toggle(cluster::tableSlow);
+      case TABLE_LOSES_ANSWERS -> toggle(cluster::tableLosesAnswers);
+      case NETWORK_LOSSY -> toggle(cluster::lossy);
+      case DRAIN_UPSTREAM ->
+          toggle(on -> cluster.apply(Sites.drain(cluster.declarations(), upstream, on)));
+      case DRAIN_DATA_CENTRE ->
+          toggle(on -> cluster.apply(Sites.drain(cluster.declarations(), place, on)));
+      case LOSE_DATA_CENTRE -> lose(cluster, place);
+    };
+  }
+
+  private <T> T pick(Stream<T> from) {
+    List<T> items = from.toList();
+    return items.get(target % items.size());
+  }
+
+  private String leader(FakeCluster cluster, String otherwise) {
+    List<String> leaders =
+        cluster.table().rows().keySet().stream()
+            .map(cluster::leaderOf)
+            .filter(found -> found != null)
+            .map(FakeCluster::name)
+            .toList();
+    return leaders.isEmpty() ? otherwise : leaders.get(target % leaders.size());
+  }
+
+  private static Runnable cut(
+      FakeCluster cluster, Set<String> from, Set<String> to, boolean bothWays) {
+    cluster.link(from, to, false);
+    if (bothWays) {
+      cluster.link(to, from, false);
+    }
+    return () -> {
+      cluster.link(from, to, true);
+      cluster.link(to, from, true);
+    };
+  }
+
+  private static Runnable toggle(Consumer<Boolean> state) {
+    state.accept(true);
+    return () -> state.accept(false);
+  }
+
+  private static Runnable pause(FakeCluster cluster, String member) {
+    return toggle(on -> cluster.pause(member, on));
+  }
+
+  private static Runnable restart(FakeCluster cluster, String member) {
+    DataCentreId place = cluster.members().get(member).dataCentre();
+    cluster.kill(member);
+    return () -> cluster.start(member, place);
+  }
+
+  private Runnable replace(FakeCluster cluster, String member) {
+    DataCentreId place = cluster.members().get(member).dataCentre();
+    cluster.kill(member);
+    return () -> {
+      cluster.forget(member);
+      cluster.start("new-" + atMillis + "-" + member, place);
+    };
+  }
+
+  private static Runnable stop(FakeCluster cluster, String member) {
+    DataCentreId place = cluster.members().get(member).dataCentre();
+    cluster.stopGracefully(member);
+    FakeMember stopping = cluster.members().get(member);
+    cluster.at(
+        50,
+        () -> {
+          if (cluster.members().get(member) == stopping) {
+            cluster.kill(member);
+          }
+        });
+    return () -> cluster.start(member, place);
+  }
+
+  private static Runnable lose(FakeCluster cluster, DataCentreId place) {
+    Declarations before = cluster.declarations();
+    if (!before.lostDataCentres().isEmpty()) {
+      return () -> {};
+    }
+    Set<String> nodes = cluster.nodes(place);
+    nodes.forEach(cluster::kill);
+    cluster.apply(Sites.lose(before, place, true));
+    return () -> {
+      cluster.apply(Sites.lose(cluster.declarations(), place, false));
+      nodes.stream().filter(cluster.members()::containsKey).forEach(n -> cluster.start(n, place));
+      nodes.stream()
+          .filter(node -> !cluster.members().containsKey(node))
+          .forEach(cluster::restartUpstream);
+    };
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/ownership/Oracles.java
@@ -0,0 +1,185 @@
+package dev.hornbeamwheel.core.ownership;
+
+import dev.hornbeamwheel.core.config.Service;
+import dev.hornbeamwheel.core.config.Upstream;
+import dev.hornbeamwheel.core.model.CellId;
+import dev.hornbeamwheel.core.model.Slice;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+
+/** Judges what upstreams held and what was acknowledged. */
+final class Oracles {
+  /** Time after which a drained place must hold nothing, in milliseconds. */
+  static final long DRAINED_MILLIS = 3000;
+
+  /** Longest time for which a planned move may leave a slice without holder, in milliseconds. */
+  static final long MOVE_MILLIS = 200;
+
+  private record Key(CellId cell, Slice slice) {}
+
+  private final FakeCluster cluster;
+  private final List<String> violations = new ArrayList<>();
+  private final Map<Key, Assignment> acknowledged = new HashMap<>();
+  private final Map<Key, Map<Long, UpstreamId>> ownersByEpoch = new HashMap<>();
+  private final Map<UpstreamId, Long> drainedSince = new TreeMap<>();
+  private final Map<Key, Long> unheldSince = new HashMap<>();
+  private final Map<Key, Long> longestUnheld = new HashMap<>();
+  private boolean calm = true;
+
+  Oracles(FakeCluster cluster) {
+    this.cluster = cluster;
+  }
+
+  List<String> violations() {
+    return violations;
+  }
+
+  private void violate(String text) {
+    violations.add(cluster.now() + " ms: " + text);
+  }
+
+  /** One owner: nobody else may hold what was just granted; an epoch has one owner for good. */
+  void granted(UpstreamId to, UpstreamOrder.Replace order) {
+    for (SliceGrant grant : order.grants()) {
+      Key key = new Key(order.cell(), grant.slice());
+      UpstreamId first =
+          ownersByEpoch
+              .computeIfAbsent(key, k -> new HashMap<>())
+              .computeIfAbsent(grant.epoch().value(), k -> to);
+      if (!first.equals(to)) {
+        violate("epoch of " + key + " granted to " + first + " and " + to);
+      }
+      cluster.upstreams().values().stream()
+          .filter(other -> !other.id().equals(to) && !cluster.stopped(other.id().value()))
+          .filter(other -> holds(other, key))
+          .forEach(other -> violate(key + " held by " + other.id() + " and " + to));
+    }
+  }
+
+  /** A shard contains an isolated key if it was granted at an epoch before the isolation. */
+  private boolean holds(FakeUpstream upstream, Key key) {
+    long now = cluster.now();
+    if (upstream.holds(key.cell(), key.slice(), now)) {
+      return true;
+    }
+    long shardEpoch = upstream.admits(key.cell(), Slice.ofShard(key.slice().shard()), now);
+    long isolatedAt = Collections.min(ownersByEpoch.get(key).keySet());
+    return key.slice().isolated() && shardEpoch > 0 && shardEpoch < isolatedAt;
+  }
+
+  /** Survival: a later row never has an older epoch, nor another owner at the same epoch. */
+  void acknowledged(CellRow row) {
+    row.assignments().stream()
+        .forEach(
+            a -> {
+              Assignment earlier = acknowledged.get(new Key(row.cell(), a.slice()));
+              boolean kept =
+                  earlier == null
+                      || a.epoch().compareTo(earlier.epoch()) > 0
+                      || (a.epoch().equals(earlier.epoch()) && a.owner().equals(earlier.owner()));
+              if (!kept) {
+                violate("acknowledged " + earlier + " became " + a);
+              }
+              acknowledged.put(new Key(row.cell(), a.slice()), a);
+            });
+  }
+
+  /** Returns acknowledged assignments that the table no longer holds. */
+  void checkTable() {
+    acknowledged.forEach(
+        (key, a) -> {
+          Assignment stored =
+              cluster.table().rows().get(key.cell()).assignments().find(key.slice()).orElse(null);
+          if (stored == null
+              || stored.epoch().compareTo(a.epoch()) < 0
+              || (stored.epoch().equals(a.epoch()) && !stored.owner().equals(a.owner()))) {
+            violate("acknowledged " + a + " but the table holds " + stored);
+          }
+        });
+  }
+
+  /** Notes whether the network and the platform work, so that drains can be judged. */
+  void calm(boolean on) {
+    calm = on;
+    drainedSince.replaceAll((id, since) -> cluster.now());
+  }
+
+  void configured() {
+    for (Upstream upstream : cluster.declarations().upstreams()) {
+      if (cluster.declarations().drained(upstream)) {
+        drainedSince.putIfAbsent(upstream.id(), cluster.now());
+      } else {
+        drainedSince.remove(upstream.id());
+      }
+    }
+  }
+
+  /** Looks at the upstreams now: drained ones, and slices that nobody holds. */
+  void observe() {
+    drainedSince.forEach(
+        (id, since) -> {
+          if (calm
+              && cluster.now() - since > DRAINED_MILLIS
+              && !cluster.stopped(id.value())
+              && cluster.upstreams().get(id).holdsAny(cluster.now())) {
+            violate("drained " + id + " still holds slices");
+          }
+        });
+    shards().forEach(this::observe);
+  }
+
+  private void observe(Key key) {
+    boolean held =
+        cluster.upstreams().values().stream()
+            .anyMatch(
+                u ->
+                    !cluster.stopped(u.id().value())
+                        && u.admits(key.cell(), key.slice(), cluster.now()) > 0);
+    if (held) {
+      unheldSince.remove(key);
+    } else {
+      unheldSince.putIfAbsent(key, cluster.now());
+      longestUnheld.merge(key, cluster.now() - unheldSince.get(key), Math::max);
+    }
+  }
+
+  private List<Key> shards() {
+    List<Key> keys = new ArrayList<>();
+    for (Service service : cluster.declarations().services()) {
+      IntStream.range(0, service.shards())
+          .forEach(
+              s -> keys.add(new Key(CellId.of(service.id(), service.cellOf(s)), Slice.ofShard(s))));
+    }
+    return keys;
+  }
+
+  /** Liveness: each slice is held now, but for the moment of a planned move. */
+  void checkAllHeld() {
+    observe();
+    unheldSince.forEach(
+        (key, since) -> {
+          if (cluster.now() - since > MOVE_MILLIS) {
+            violate(key + " held by nobody since " + since);
+          }
+        });
+  }
+
+  void forgetUnheld() {
+    longestUnheld.clear();
+    unheldSince.clear();
+  }
+
+  /** Returns the longest time for which a slice was held by nobody, by slice. */
+  Map<String, Long> longestUnheld() {
+    Map<String, Long> named = new TreeMap<>();
+    longestUnheld.forEach(
+        (key, millis) -> named.put(key.cell() + "#" + key.slice().shard(), millis));
+    return named;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/ownership/OwnershipFuzz.java
@@ -0,0 +1,65 @@
+package dev.hornbeamwheel.core.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** Runs many fault sequences from a seed and prints a shrunk one for each failure. */
+final class OwnershipFuzz {
+  private static final int TARGETS = 31;
+  private static final int SPAN_MILLIS = 6000;
+
+  private static final List<Fault.Kind> KINDS = List.of(Fault.Kind.values());
+
+  private OwnershipFuzz() {}
+
+  /**
+   * Runs the sequences.
+   *
+   * @param args seed, number of tries (one runs a single sequence), and optionally the step of the
+   *     protocol to leave out
+   */
+  public static void main(String[] args) {
+    long seed = Long.parseLong(args[0]);
+    int tries = Integer.parseInt(args[1]);
+    Shortcut shortcut = args.length > 2 ? Shortcut.valueOf(args[2]) : Shortcut.NONE;
+    int failed = 0;
+    for (int i = 0; i < tries; i++) {
+      List<Fault> faults = draw(new Random(seed + i));
+      List<String> violations = OwnershipFuzzTest.violations(faults, shortcut);
+      if (!violations.isEmpty()) {
+        failed++;
+        System.out.println("seed " + (seed + i) + ": " + violations.get(0));
+        System.out.println("  " + (tries == 1 ? faults : shrink(faults, shortcut)));
+      }
+    }
+    System.out.println("tries " + tries + ", failed " + failed);
+  }
+
+  private static List<Fault> draw(Random random) {
+    List<Fault> faults = new ArrayList<>();
+    int count = 1 + random.nextInt(4);
+    for (int i = 0; i < count; i++) {
+      Fault.Kind kind = KINDS.get(random.nextInt(KINDS.size()));
+      faults.add(
+          new Fault(
+              kind,
+              random.nextInt(TARGETS),
+              random.nextInt(SPAN_MILLIS),
+              1 + random.nextInt(SPAN_MILLIS)));
+    }
+    return faults;
+  }
+
+  /** Drops faults one by one while the rest still fails. */
+  private static List<Fault> shrink(List<Fault> faults, Shortcut shortcut) {
+    for (Fault fault : faults) {
+      List<Fault> fewer = new ArrayList<>(faults);
+      fewer.remove(fault);
+      if (!fewer.isEmpty() && !OwnershipFuzzTest.violations(fewer, shortcut).isEmpty()) {
+        return shrink(fewer, shortcut);
+      }
+    }
+    return faults;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/ownership/SpreadPolicy.java
@@ -0,0 +1,73 @@
+package dev.hornbeamwheel.core.ownership;
+
+import dev.hornbeamwheel.core.model.Slice;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.placement.Move;
+import dev.hornbeamwheel.core.placement.PlacementPolicy;
+import dev.hornbeamwheel.core.placement.PlacementView;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Evens out the number of slices, and isolates each key that has load. */
+final class SpreadPolicy implements PlacementPolicy {
+  @Override
+  public List<Move> plan(PlacementView view) {
+    Map<UpstreamId, Integer> counts = new TreeMap<>();
+    view.eligible().forEach(target -> counts.put(target.upstream(), 0));
+    new TreeMap<>(view.owners())
+        .values()
+        .forEach(owner -> counts.computeIfPresent(owner, (id, n) -> n + 1));
+    List<Move> moves = new ArrayList<>();
+    List<Slice> homeless = new ArrayList<>(view.unassigned());
+    Map<Slice, UpstreamId> owners = new TreeMap<>(view.owners());
+    owners.forEach(
+        (slice, owner) -> {
+          if (!counts.containsKey(owner)) {
+            homeless.add(slice);
+          }
+        });
+    if (view.isolationAllowed()) {
+      new TreeMap<>(view.load())
+          .keySet().stream()
+              .filter(slice -> slice.isolated() && !owners.containsKey(slice))
+              .filter(slice -> owners.containsKey(Slice.ofShard(slice.shard())))
+              .filter(slice -> !homeless.contains(Slice.ofShard(slice.shard())))
+              .limit(1)
+              .forEach(homeless::add);
+    }
+    homeless.forEach(slice -> moves.add(new Move(slice, take(counts), "homeless")));
+    if (moves.isEmpty()) {
+      even(owners, counts, moves);
+    }
+    return moves;
+  }
+
+  private static UpstreamId take(Map<UpstreamId, Integer> counts) {
+    UpstreamId least = counts.entrySet().stream().min(Map.Entry.comparingByValue()).get().getKey();
+    counts.merge(least, 1, Integer::sum);
+    return least;
+  }
+
+  private static void even(
+      Map<Slice, UpstreamId> owners, Map<UpstreamId, Integer> counts, List<Move> moves) {
+    var most = counts.entrySet().stream().max(Map.Entry.comparingByValue()).get();
+    var least = counts.entrySet().stream().min(Map.Entry.comparingByValue()).get();
+    if (most.getValue() - least.getValue() > 1) {
+      owners.entrySet().stream()
+          .filter(entry -> entry.getValue().equals(most.getKey()))
+          .min(Comparator.comparing(Map.Entry::getKey))
+          .ifPresent(e -> moves.add(new Move(e.getKey(), least.getKey(), "even")));
+    }
+  }
+
+  /** Returns load reports that name the given hot keys. */
+  static Map<Slice, Double> hot(Slice... keys) {
+    Map<Slice, Double> load = new HashMap<>();
+    List.of(keys).forEach(key -> load.put(key, 1.0));
+    return load;
+  }
+}
