--- /dev/null
+++ b/bench/src/main/java/dev/hornbeamwheel/bench/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Measures contract limits over a fleet. */
+package dev.hornbeamwheel.bench.limits;
