Write and ask less often for contract shares

Cause: 80 table writes and 276 messages a second under even demand came from a wanted share that flickered between two steps and from requests every 20 ms after a refusal. Change: a published step stays while the demand is at most two steps below it; after an answer without a grant the next hasty request waits 200 ms.

--- a/core/src/main/java/dev/hornbeamwheel/core/limits/DivisionPlan.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/limits/DivisionPlan.java
@@ -29,7 +29,7 @@
   static DivisionPlan of(Division read, Contract contract, Scene scene) {
     Share whole = Share.of(contract.ratePerSecond(), contract.burst(), contract.concurrency());
     Division division = prepare(read, whole, scene);
-    Share published = published(scene.demand(), whole, division.entries().size());
+    Share published = published(scene.demand(), whole, division, scene.own());
     Entry mine = new Entry(division.share(scene.own()), published);
     division = division.with(scene.own(), mine);
     Share target = target(division, published, whole);
@@ -93,7 +93,9 @@
     return total <= whole ? share : (long) ((double) share * whole / total);
   }
 
-  private static Share published(Share demand, Share whole, int dataCentres) {
+  private static Share published(Share demand, Share whole, Division division, DataCentreId own) {
+    int dataCentres = division.entries().size();
+    Share before = division.entries().getOrDefault(own, new Entry(Share.NONE, Share.NONE)).wanted();
     Share reserve =
         new Share(
             whole.milliRate() / RESERVE_ONE_IN,
@@ -101,15 +103,17 @@
             whole.concurrency() >= ROOM_FOR_RESERVE * dataCentres ? 1 : 0);
     Share stepped =
         new Share(
-            stepped(demand.milliRate(), whole.milliRate()),
-            stepped(demand.burst(), whole.burst()),
-            (int) stepped(demand.concurrency(), whole.concurrency()));
+            stepped(demand.milliRate(), whole.milliRate(), before.milliRate()),
+            stepped(demand.burst(), whole.burst(), before.burst()),
+            (int) stepped(demand.concurrency(), whole.concurrency(), before.concurrency()));
     return stepped.max(reserve);
   }
 
-  private static long stepped(long demand, long whole) {
+  /** Rounds up to a step, and stays on the step before while the demand is little less. */
+  private static long stepped(long demand, long whole, long before) {
     long step = Math.max(1, -Math.floorDiv(-whole, (long) STEPS));
-    return Math.min(whole, -Math.floorDiv(-demand, step) * step);
+    boolean close = demand > 0 && demand <= before && demand > before - 2 * step;
+    return close ? before : Math.min(whole, -Math.floorDiv(-demand, step) * step);
   }
 
   private static Share target(Division division, Share published, Share whole) {
--- a/core/src/main/java/dev/hornbeamwheel/core/limits/GroupLease.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/limits/GroupLease.java
@@ -20,6 +20,7 @@
   private long expiresMillis = Long.MIN_VALUE;
   private long nextRequestMillis = Long.MIN_VALUE;
   private long sentMillis = Long.MIN_VALUE / 2;
+  private long urgentMillis = LimitsTiming.URGENT_MILLIS;
   private boolean urgent;
 
   GroupLease(int group, LapseRule lapseRule) {
@@ -60,10 +61,7 @@
   }
 
   Optional<LimitsEffect> requestIfDue(Incarnation incarnation, long nowMillis) {
-    boolean due =
-        urgent
-            ? nowMillis - sentMillis >= LimitsTiming.URGENT_MILLIS
-            : nowMillis >= nextRequestMillis;
+    boolean due = urgent ? nowMillis - sentMillis >= urgentMillis : nowMillis >= nextRequestMillis;
     if (!due || arbiter.isEmpty()) {
       return Optional.empty();
     }
@@ -91,6 +89,8 @@
     }
     outstanding.removeIf(each -> each.sequence <= grant.sequence());
     applied = grant.sequence();
+    urgentMillis =
+        grant.grants().isEmpty() ? LimitsTiming.REFUSED_MILLIS : LimitsTiming.URGENT_MILLIS;
     expiresMillis = sent.get().atMillis + grant.leaseMillis();
     buckets.forEach(bucket -> bucket.changeShare(granted(grant, bucket), nowMillis));
     checkLapse(nowMillis);
--- a/core/src/main/java/dev/hornbeamwheel/core/limits/LimitsTiming.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/limits/LimitsTiming.java
@@ -14,6 +14,9 @@
   /** Least time between two requests when a caller waits for a share, in milliseconds. */
   static final long URGENT_MILLIS = 20;
 
+  /** Least time between two requests after an answer that granted nothing, in milliseconds. */
+  static final long REFUSED_MILLIS = 200;
+
   /** Time without callers after which a router gives its share back, in milliseconds. */
   static final long IDLE_MILLIS = 2000;
 
