Refresh the choice of peers once per tick

Cause: each message of a cold start changed the members and so rebuilt the order of peers. Change: rebuilt at the next tick.

--- a/core/src/main/java/dev/hornbeamwheel/core/membership/MemberTable.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/membership/MemberTable.java
@@ -19,6 +19,7 @@
   private final Map<MemberId, Row> rows = new HashMap<>();
   private Map<MemberId, Seed> seeds = Map.of();
   private View view;
+  private boolean outdated;
 
   MemberTable(Member self) {
     this.self = self;
@@ -29,12 +30,12 @@
     Row old = rows.get(member.id());
     long hash = old == null ? Rendezvous.hash(member.id().value()) : old.hash;
     rows.put(member.id(), new Row(member, hash));
-    view = null;
+    outdated = true;
   }
 
   void remove(MemberId id) {
     rows.remove(id);
-    view = null;
+    outdated = true;
   }
 
   void seeds(List<Seed> list) {
@@ -94,9 +95,22 @@
     return view().strays;
   }
 
+  /**
+   * Takes changes of members into account in the choice of peers.
+   *
+   * <p>Called once per tick, because a change for each message of a cold start would cost more than
+   * a choice that is one tick old.
+   */
+  void refresh() {
+    if (outdated) {
+      view = null;
+    }
+  }
+
   private View view() {
     if (view == null) {
       view = new View();
+      outdated = false;
     }
     return view;
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/membership/MembershipReducer.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/membership/MembershipReducer.java
@@ -108,6 +108,7 @@
   }
 
   private void tick(long nowMillis) {
+    table.refresh();
     if (schedule.resumedAfterPause(nowMillis)) {
       detector.restartWaiting(nowMillis);
       beacons.restartWaiting(nowMillis);
