--- a/wire/src/main/java/dev/hornbeamwheel/wire/OwnershipMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/OwnershipMapping.java
@@ -48,6 +48,7 @@
           .setTo(reply.to().value())
           .setCell(CellMapping.toProto(reply.cell()))
           .setNumber(reply.number())
+          .setLed(reply.led())
           .addAllClaims(reply.claims());
     } else if (message instanceof HandOver handOver) {
       body.getHandOverBuilder()
@@ -82,6 +83,7 @@
               Incarnation.of(body.getSealReply().getTo()),
               CellMapping.fromProto(body.getSealReply().getCell()),
               body.getSealReply().getNumber(),
+              body.getSealReply().getLed(),
               body.getSealReply().getClaimsList());
       case HAND_OVER ->
           new HandOver(
--- a/wire/src/test/java/dev/hornbeamwheel/wire/RecordArbitraries.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/RecordArbitraries.java
@@ -45,7 +45,7 @@
     if (raw == boolean.class) {
       return Arbitraries.of(true, false);
     }
-    if (raw == double.class) {
+    if (raw == double.class || raw == Double.class) {
       return Arbitraries.doubles();
     }
     if (raw == Content.class) {
