--- a/e2e/src/main/java/dev/hornbeamwheel/e2e/package-info.java
+++ b/e2e/src/main/java/dev/hornbeamwheel/e2e/package-info.java
@@ -1,2 +1,2 @@
-/** To be filled by the first change of this module. */
+/** Drills: the real programs on loopback, under load, while processes and upstreams fail. */
 package dev.hornbeamwheel.e2e;
