--- a/controller/src/main/java/dev/hornbeamwheel/controller/ControllerModule.java
+++ b/controller/src/main/java/dev/hornbeamwheel/controller/ControllerModule.java
@@ -107,13 +107,18 @@
       ControllerSettings settings,
       PlatformServices platform,
       PeerTransport transport,
-      NodeInbox inbox) {
+      NodeInbox inbox,
+      Metrics metrics) {
     PlatformReads reads =
         PlatformReads.create(
             platform.table(),
             ConfigurationStore.of(platform.table(), platform.objects()),
             platform.hosts(),
             inbox);
+    metrics.counter(
+        "hornbeamwheel_platform_read_failures_total",
+        "Polls of the host list, the configuration and rows that failed.",
+        reads::failures);
     return MemberIo.create(transport, reads, DecisionLog.sampling(settings.decisionLogOneIn()));
   }
 
