Keep the paths of the system apart from those of callers

Cause: orders, load, health and cancellation stood at /orders, /load, /health and /requests of an upstream, where a caller's own POST /orders would have reached them: a request through the router could have given a grant. Found by the test of a draining upstream, whose GET /orders was never run.

A fault of JSON null is refused; the test found that it was taken.

Ruled out: a second port for orders, since declarations give one address.

--- a/standins/src/main/java/dev/hornbeamwheel/standins/StandinsOperator.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/StandinsOperator.java
@@ -87,7 +87,11 @@
 
   private void order(HttpServerExchange exchange, String body) {
     try {
-      standins.apply(json.readValue(body, Fault.class));
+      Fault fault = json.readValue(body, Fault.class);
+      if (fault == null) {
+        throw new IllegalArgumentException("a fault is an object with a type");
+      }
+      standins.apply(fault);
       Exchanges.send(exchange, StatusCodes.OK, new OrderedJson("in force"));
     } catch (JsonProcessingException e) {
       Exchanges.problem(exchange, StatusCodes.BAD_REQUEST, e.getOriginalMessage());
--- a/standins/src/main/java/dev/hornbeamwheel/standins/upstream/ControlHandlers.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/upstream/ControlHandlers.java
@@ -6,6 +6,7 @@
 import dev.hornbeamwheel.core.ownership.UpstreamOrder;
 import dev.hornbeamwheel.core.ownership.UpstreamReply;
 import dev.hornbeamwheel.platform.LoadReport;
+import dev.hornbeamwheel.platform.http.UpstreamPaths;
 import dev.hornbeamwheel.platform.json.ModelJson;
 import dev.hornbeamwheel.platform.json.OrderJson;
 import dev.hornbeamwheel.platform.json.ReplyJson;
@@ -24,8 +25,6 @@
 
 /** Serves orders, load, health and cancellation. */
 final class ControlHandlers {
-  private static final String REQUESTS = "/requests";
-
   /** Types of order lack fields of each other, so absent ones are no fault. */
   private static final ObjectMapper ORDERS = ModelJson.lenientMapper();
 
@@ -53,10 +52,10 @@
   /** Returns the paths of control; every other one goes to {@code requests}. */
   HttpHandler before(HttpHandler requests) {
     return new PathHandler(requests)
-        .addExactPath("/orders", this::orders)
-        .addExactPath("/load", exchange -> gated(exchange, () -> load(exchange)))
-        .addExactPath("/health", this::health)
-        .addPrefixPath(REQUESTS, exchange -> gated(exchange, () -> cancel(exchange)));
+        .addExactPath(UpstreamPaths.ORDERS, this::orders)
+        .addExactPath(UpstreamPaths.LOAD, exchange -> gated(exchange, () -> load(exchange)))
+        .addExactPath(UpstreamPaths.HEALTH, this::health)
+        .addPrefixPath(UpstreamPaths.REQUESTS, exchange -> gated(exchange, () -> cancel(exchange)));
   }
 
   private void gated(HttpServerExchange exchange, Runnable work) {
@@ -106,7 +105,7 @@
   }
 
   private void cancel(HttpServerExchange exchange) {
-    String id = exchange.getRequestPath().substring(REQUESTS.length() + 1);
+    String id = exchange.getRelativePath().replaceFirst("^/", "");
     if (!exchange.getRequestMethod().equals(Methods.DELETE) || id.isBlank()) {
       Exchanges.problem(exchange, StatusCodes.METHOD_NOT_ALLOWED, "use DELETE on a request id");
     } else if (process.cancel(RequestId.of(id))) {
