--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingWorld.java
@@ -0,0 +1,351 @@
+package dev.hornbeamwheel.core.routing;
+
+import dev.hornbeamwheel.core.claims.ClaimEffect;
+import dev.hornbeamwheel.core.claims.ClaimEvent;
+import dev.hornbeamwheel.core.claims.ClaimMessage;
+import dev.hornbeamwheel.core.claims.ClaimTerm;
+import dev.hornbeamwheel.core.config.ColdStart;
+import dev.hornbeamwheel.core.config.Configuration;
+import dev.hornbeamwheel.core.model.CellId;
+import dev.hornbeamwheel.core.model.ContractId;
+import dev.hornbeamwheel.core.model.Incarnation;
+import dev.hornbeamwheel.core.model.MemberId;
+import dev.hornbeamwheel.core.model.RequestId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.recovery.Evidence;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+
+/** Routers, voters, upstreams and callers of one data centre in virtual time. */
+class RoutingWorld {
+  static final ColdStart BEARS = new ColdStart(10, 60, 2_000);
+  static final int ROUTERS = 4;
+  static final int TICK_MILLIS = 10;
+  static final int GOSSIP_MILLIS = 200;
+  static final ContractId MILL = ContractId.of("mill");
+
+  /** A router process and the calls that it has in flight. */
+  final class RouterProcess {
+    final MemberId id;
+    final long clockOffset = random.nextInt(100_000);
+    final Map<RequestId, RoutingEvent.RequestArrived> requests = new HashMap<>();
+    final Map<RequestId, Long> delivered = new HashMap<>();
+    final Map<String, Boolean> open = new HashMap<>();
+    Incarnation incarnation;
+    RoutingReducer reducer;
+    boolean alive = true;
+    boolean stopping;
+    long frozenUntil;
+
+    RouterProcess(String name) {
+      id = MemberId.of(name);
+      start();
+    }
+
+    void start() {
+      alive = true;
+      stopping = false;
+      incarnation = Incarnation.of(random.nextLong());
+      reducer =
+          RoutingReducer.faulty(
+              new RoutingSettings(id, incarnation, Catalogue.QUIMPER, random.nextLong()), faults);
+      requests.clear();
+      open.clear();
+    }
+
+    long clock() {
+      return time.now() + clockOffset;
+    }
+
+    void feed(Function<Long, RoutingEvent> event) {
+      Incarnation meant = incarnation;
+      if (alive && time.now() < frozenUntil) {
+        time.after(frozenUntil - time.now(), () -> feedTo(meant, event));
+      } else {
+        feedTo(meant, event);
+      }
+    }
+
+    private void feedTo(Incarnation meant, Function<Long, RoutingEvent> event) {
+      if (alive && meant.equals(incarnation)) {
+        reducer.reduce(event.apply(clock())).forEach(effect -> perform(this, effect));
+      }
+    }
+  }
+
+  final VirtualTime time = new VirtualTime();
+  final Ledger ledger = new Ledger();
+  final Random random;
+  final FakeNetwork network;
+  final RoutingFaults faults;
+  final Catalogue catalogue;
+  final List<RouterProcess> routers = new ArrayList<>();
+  final List<FakeVoter> voters = new ArrayList<>();
+  final Map<UpstreamId, FakeUpstream> upstreams = new HashMap<>();
+  final Set<Long> poison = new HashSet<>();
+  ClaimTerm term = new ClaimTerm(0, List.of());
+  int nextRequest;
+  int nextVoter;
+
+  RoutingWorld(long seed, RoutingFaults faults, ColdStart believed) {
+    this.random = new Random(seed);
+    this.network = new FakeNetwork(time, random);
+    this.faults = faults;
+    this.catalogue = new Catalogue(believed);
+    catalogue.upstreams.forEach(
+        u -> upstreams.put(u.id(), new FakeUpstream(u, time, ledger, random, poison)));
+    IntStream.range(0, ROUTERS).forEach(i -> routers.add(new RouterProcess("router-" + i)));
+    IntStream.range(0, 3).forEach(i -> voters.add(newVoter()));
+    configure();
+    membersChanged();
+    newTerm(voters);
+    tick();
+  }
+
+  void advance(long millis) {
+    time.advance(millis);
+  }
+
+  long unanswered() {
+    return routers.stream().filter(r -> r.alive).mapToLong(r -> r.requests.size()).sum();
+  }
+
+  void perform(RouterProcess router, RoutingEffect effect) {
+    if (effect instanceof RoutingEffect.CallUpstream call) {
+      callUpstream(router, call);
+    } else if (effect instanceof RoutingEffect.Answer answer) {
+      answer(router, answer);
+    } else if (effect instanceof RoutingEffect.SendDispatch send) {
+      Incarnation from = router.incarnation;
+      deliver(
+          router.id,
+          send.to(),
+          () ->
+              router(send.to())
+                  .feed(
+                      now ->
+                          new RoutingEvent.DispatchReceived(now, router.id, from, send.message())));
+    } else if (effect instanceof RoutingEffect.SendClaim send) {
+      Incarnation from = router.incarnation;
+      deliver(router.id, send.to(), () -> toVoter(send.to(), router.id, from, send.message()));
+    } else if (effect instanceof RoutingEffect.ShareEvidence share) {
+      routers.forEach(
+          r ->
+              deliver(
+                  router.id,
+                  r.id,
+                  () ->
+                      r.feed(
+                          now ->
+                              new RoutingEvent.EvidenceLearned(now, List.of(share.evidence())))));
+    } else if (effect instanceof RoutingEffect.RefreshOwnership) {
+      time.after(20, () -> publishRow(router));
+    } else if (effect instanceof RoutingEffect.Stopped) {
+      stopped(router);
+    }
+  }
+
+  void stopped(RouterProcess router) {
+    router.open.keySet().forEach(id -> ledger.cutByStop.add("cut by stop: " + id));
+    router.alive = false;
+    membersChanged();
+    time.after(
+        200,
+        () -> {
+          router.start();
+          configure(router, catalogue.configuration());
+          membersChanged();
+          publishRow(router);
+        });
+  }
+
+  void answer(RouterProcess router, RoutingEffect.Answer answer) {
+    ledger.told(answer, router.delivered.getOrDefault(answer.requestId(), 0L), time.now());
+    router.requests.remove(answer.requestId());
+    boolean early = router.open.remove(answer.requestId().value()) != null;
+    if (early && answer.problem() == ProblemKind.STOPPING) {
+      ledger.cutByStop.add("cut by stop: " + answer);
+    }
+  }
+
+  void callUpstream(RouterProcess router, RoutingEffect.CallUpstream call) {
+    RoutingEvent.RequestArrived request = router.requests.get(call.requestId());
+    FakeUpstream upstream = upstreams.get(call.upstream());
+    boolean[] ended = {false};
+    time.after(1, () -> upstream.call(call, request, reply -> replied(router, call, reply, ended)));
+    time.after(
+        Math.max(1, call.deadlineMillis() - router.clock()),
+        () ->
+            replied(
+                router,
+                call,
+                new FakeUpstream.Reply(0, false, new AttemptOutcome.DeadlinePassed()),
+                ended));
+  }
+
+  void replied(
+      RouterProcess router,
+      RoutingEffect.CallUpstream call,
+      FakeUpstream.Reply reply,
+      boolean[] ended) {
+    if (ended[0]) {
+      return;
+    }
+    ended[0] = true;
+    RequestId id = call.requestId();
+    if (reply.outcome() instanceof AttemptOutcome.ConnectionLost) {
+      noteCrash(router, call);
+    }
+    if (reply.started()) {
+      router.feed(
+          now ->
+              new RoutingEvent.AnswerStarted(now, id, call.attempt(), reply.incarnation(), "v1"));
+      long got = router.delivered.getOrDefault(id, 0L);
+      if (call.resumeOffset() <= got) {
+        boolean whole = reply.outcome() instanceof AttemptOutcome.Completed;
+        long until =
+            reply.outcome() instanceof AttemptOutcome.ShortAnswer cut
+                ? cut.bytesReceived()
+                : whole ? Ledger.WHOLE : got;
+        router.delivered.put(id, until);
+      }
+    }
+    router.feed(
+        now ->
+            new RoutingEvent.AttemptFinished(
+                now, id, call.attempt(), reply.incarnation(), reply.outcome()));
+  }
+
+  /** Notes a crash if its router lives, awake and connected, long enough to tell the others. */
+  void noteCrash(RouterProcess router, RoutingEffect.CallUpstream call) {
+    RoutingEvent.RequestArrived request = router.requests.get(call.requestId());
+    if (request == null || !poison.contains(request.fingerprint())) {
+      return;
+    }
+    Incarnation then = router.incarnation;
+    time.after(
+        GOSSIP_MILLIS,
+        () -> {
+          boolean told = router.alive && then.equals(router.incarnation);
+          if (told && time.now() >= router.frozenUntil && !network.isCut(router.id)) {
+            ledger.crashKnown(request.fingerprint(), call.upstream(), time.now());
+          }
+        });
+  }
+
+  void claim(FakeVoter from, ClaimEffect.Send send) {
+    for (RouterProcess router : routers) {
+      if (router.id.equals(send.to())) {
+        router.feed(
+            now ->
+                new RoutingEvent.ClaimReceived(
+                    now, from.voter.member(), from.voter.incarnation(), send.message()));
+        return;
+      }
+    }
+    toVoter(send.to(), from.voter.member(), from.voter.incarnation(), send.message());
+  }
+
+  void toVoter(MemberId to, MemberId from, Incarnation inc, ClaimMessage message) {
+    voters.stream()
+        .filter(v -> v.voter.member().equals(to))
+        .findFirst()
+        .ifPresent(v -> v.feed(new ClaimEvent.Received(time.now(), from, inc, message)));
+  }
+
+  void deliver(MemberId from, MemberId to, Runnable arrival) {
+    network.deliver(from, to, arrival);
+  }
+
+  FakeVoter newVoter() {
+    return new FakeVoter(
+        nextVoter++,
+        random.nextLong(),
+        (voter, send) -> deliver(voter.voter.member(), send.to(), () -> claim(voter, send)));
+  }
+
+  void newTerm(List<FakeVoter> members) {
+    List<ClaimTerm> predecessors = term.number() == 0 ? List.of() : List.of(term);
+    term = new ClaimTerm(term.number() + 1, members.stream().map(v -> v.voter).toList());
+    ClaimTerm learned = term;
+    for (ServiceId service : Catalogue.SERVICES) {
+      CellId cell = CellId.of(service, 0);
+      members.forEach(
+          v ->
+              time.after(
+                  1 + random.nextInt(50),
+                  () ->
+                      v.feed(new ClaimEvent.RowLearned(time.now(), cell, learned, predecessors))));
+    }
+    routers.forEach(r -> time.after(random.nextInt(100), () -> publishRow(r)));
+  }
+
+  void publishRow(RouterProcess router) {
+    catalogue
+        .rows(term)
+        .forEach(row -> router.feed(now -> new RoutingEvent.OwnershipLearned(now, row)));
+  }
+
+  void configure() {
+    Configuration next = catalogue.nextConfiguration();
+    routers.forEach(r -> time.after(random.nextInt(500), () -> configure(r, next)));
+  }
+
+  void configure(RouterProcess router, Configuration configuration) {
+    router.feed(now -> new RoutingEvent.ConfigurationChanged(now, configuration));
+  }
+
+  void membersChanged() {
+    List<Peer> live =
+        routers.stream()
+            .filter(r -> r.alive)
+            .map(r -> new Peer(r.id, r.incarnation, Catalogue.QUIMPER))
+            .toList();
+    routers.forEach(
+        r ->
+            time.after(
+                random.nextInt(100),
+                () -> r.feed(now -> new RoutingEvent.MembersChanged(now, live))));
+  }
+
+  void tick() {
+    routers.stream()
+        .filter(r -> time.now() >= r.frozenUntil)
+        .forEach(r -> r.feed(RoutingEvent.Tick::new));
+    voters.forEach(v -> v.feed(new ClaimEvent.Tick(time.now())));
+    time.after(TICK_MILLIS, this::tick);
+    if (time.now() % GOSSIP_MILLIS == 0) {
+      routers.stream().filter(r -> r.alive).forEach(this::gossip);
+    }
+  }
+
+  /** Passes the evidence of a router on to another one. */
+  void gossip(RouterProcess router) {
+    List<Evidence> evidence = router.reducer.evidence(router.clock());
+    RouterProcess peer = routers.get(random.nextInt(ROUTERS));
+    deliver(
+        router.id,
+        peer.id,
+        () -> peer.feed(now -> new RoutingEvent.EvidenceLearned(now, evidence)));
+  }
+
+  RouterProcess router(MemberId id) {
+    return routers.stream().filter(r -> r.id.equals(id)).findFirst().orElseThrow();
+  }
+
+  FakeUpstream anyUpstream() {
+    return upstreams.get(anyUpstreamId());
+  }
+
+  UpstreamId anyUpstreamId() {
+    return catalogue.upstreams.get(random.nextInt(catalogue.upstreams.size())).id();
+  }
+}
