--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/Ctl.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/Ctl.java
@@ -6,6 +6,7 @@
 import dev.hornbeamwheel.core.time.Clock;
 import dev.hornbeamwheel.platform.http.HttpPlatform;
 import dev.hornbeamwheel.platform.store.ConfigurationStore;
+import dev.hornbeamwheel.runtime.cli.BuildVersion;
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.Optional;
@@ -51,13 +52,15 @@
       return CtlExitCode.OK;
     }
     if (parsed.command() instanceof CtlCommand.Version) {
-      String version = Ctl.class.getPackage().getImplementationVersion();
-      out.println("hornbeamwheelctl " + (version == null ? "development" : version));
+      out.println("hornbeamwheelctl " + BuildVersion.read());
       return CtlExitCode.OK;
     }
     try (HttpPlatform platform =
         HttpPlatform.connect(parsed.options().platform(), REQUEST_TIMEOUT)) {
       return carryOut(parsed.command(), context(platform, parsed.options()));
+    } catch (UnreadableRowException e) {
+      err.println(e.getMessage());
+      return CtlExitCode.FAILURE;
     }
   }
 
--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/Explain.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/Explain.java
@@ -11,7 +11,6 @@
 import dev.hornbeamwheel.core.ownership.Assignment;
 import dev.hornbeamwheel.core.ownership.CellRow;
 import dev.hornbeamwheel.platform.ReadResult;
-import dev.hornbeamwheel.platform.store.CellRowCodec;
 import java.util.Optional;
 
 /** The command {@code explain}. */
@@ -55,7 +54,7 @@
       context.out().println("no owner yet: the cell has no row; a leader writes it first");
       return CtlExitCode.OK;
     }
-    CellRow row = CellRowCodec.create().decode(cell, ((ReadResult.Found) result).row().value());
+    CellRow row = UnreadableRowException.decode(((ReadResult.Found) result).row());
     print(declarations, row, shard, key);
     return CtlExitCode.OK;
   }
--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/Status.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/Status.java
@@ -11,7 +11,6 @@
 import dev.hornbeamwheel.platform.HostListResult;
 import dev.hornbeamwheel.platform.ListResult;
 import dev.hornbeamwheel.platform.PageResult;
-import dev.hornbeamwheel.platform.store.CellRowCodec;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -52,14 +51,13 @@
 
   private StatusReport report(ConfigurationRow current, ListResult.Rows rows) {
     Declarations declarations = current.configuration().declarations();
-    CellRowCodec codec = CellRowCodec.create();
     return new StatusReport(
         current.version(),
         current.operator(),
         texts(declarations.drainedUpstreams()),
         texts(declarations.drainedDataCentres()),
         texts(declarations.lostDataCentres()),
-        rows.rows().stream().map(row -> cell(codec.decode(row.value()))).toList(),
+        rows.rows().stream().map(row -> cell(UnreadableRowException.decode(row))).toList(),
         members());
   }
 
--- a/ctl/src/test/java/dev/hornbeamwheel/ctl/CtlTest.java
+++ b/ctl/src/test/java/dev/hornbeamwheel/ctl/CtlTest.java
@@ -15,6 +15,7 @@
 import dev.hornbeamwheel.core.ownership.Assignments;
 import dev.hornbeamwheel.core.ownership.CellRow;
 import dev.hornbeamwheel.core.time.Clock;
+import dev.hornbeamwheel.platform.Bytes;
 import dev.hornbeamwheel.platform.OperationId;
 import dev.hornbeamwheel.platform.WriteResult;
 import dev.hornbeamwheel.platform.http.HttpPlatform;
@@ -159,6 +160,27 @@
         .contains("\"stock-ledger-1\" : 1", "\"moving\" : 1", "quimper-1/router", "gave no answer");
   }
 
+  @Test
+  void anUnreadableRowEndsTheCommandWithAMessage() throws InterruptedException {
+    ctl("apply", EXAMPLE.toString());
+    write("cell/stock-ledger/0", Bytes.ofUtf8("{}"));
+    assertThat(ctl("status")).isEqualTo(CtlExitCode.FAILURE);
+    assertThat(problems()).contains("cell/stock-ledger/0", "#ctl-row-unreadable");
+  }
+
+  @Test
+  void everySectionThatAMessageNamesIsInTheTroubleshootingPage() throws Exception {
+    String page = Files.readString(Path.of("..", "docs", "TROUBLESHOOTING.md"));
+    assertThat(
+            List.of(
+                "apply-lost-race",
+                "apply-not-applied",
+                "apply-outcome-unknown",
+                "ctl-unknown-name",
+                "ctl-row-unreadable"))
+        .allSatisfy(anchor -> assertThat(page).contains("\n## " + anchor + "\n"));
+  }
+
   private void writeRow(int shard) {
     CellId cell = CellId.of(ServiceId.of("stock-ledger"), shard * 4 / 1024);
     Assignment assignment =
@@ -178,12 +200,12 @@
             List.of(),
             Assignments.of(List.of(assignment)),
             "operation");
+    write(cell.rowName(), CellRowCodec.create().encode(row));
+  }
+
+  private void write(String name, Bytes value) {
     try (HttpPlatform client = HttpPlatform.connect(address(), Duration.ofSeconds(10))) {
-      WriteResult result =
-          client
-              .table()
-              .write(cell.rowName(), 0, CellRowCodec.create().encode(row), OperationId.random())
-              .join();
+      WriteResult result = client.table().write(name, 0, value, OperationId.random()).join();
       assertThat(result).isInstanceOf(WriteResult.Written.class);
     }
   }
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/cli/BuildVersion.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/cli/BuildVersion.java
@@ -5,7 +5,7 @@
 import java.util.Properties;
 
 /** The version that the build recorded in the archive of this module. */
-final class BuildVersion {
+public final class BuildVersion {
   private static final String RESOURCE =
       "/META-INF/maven/dev.hornbeamwheel/hornbeamwheel-runtime/pom.properties";
   private static final String UNPACKAGED = "development";
@@ -13,7 +13,7 @@
   private BuildVersion() {}
 
   /** Returns the version, or {@code development} when the classes were not packaged. */
-  static String read() {
+  public static String read() {
     try (InputStream in = BuildVersion.class.getResourceAsStream(RESOURCE)) {
       if (in == null) {
         return UNPACKAGED;
