Report the load of shards and hot keys from the routers

Placement reads the load by shard and isolates hot keys, and nothing counted them. Each router counts the answered keyed requests in primitive arrays and 64 keys by the least-counted rule, and reports once a second.

--- a/core/src/main/java/dev/hornbeamwheel/core/routing/AttemptFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/AttemptFlow.java
@@ -27,6 +27,7 @@
   private final RetryBudget retries = RetryBudget.of(RETRY_SHARE, MAX_SAVED);
   private final RetryBudget hedges = RetryBudget.of(HEDGE_SHARE, MAX_SAVED);
   private final RunTimes runTimes = new RunTimes();
+  private final LoadCounters load = new LoadCounters();
 
   AttemptFlow(RoutingContext context, RequestFlow flow, RoutingFaults faults) {
     this.context = context;
@@ -34,6 +35,10 @@
     this.faults = faults;
   }
 
+  void reportLoad(long nowMillis) {
+    load.tick(nowMillis, context.outbox());
+  }
+
   void earn() {
     retries.earn();
     hedges.earn();
@@ -175,6 +180,9 @@
       case COMPLETED -> {
         reportIf(view.failing(), attempt.upstream, false);
         view.completed();
+        if (request.service.keyed()) {
+          load.add(request, now - attempt.startedAtMillis);
+        }
         runTimes.add(request.service.id(), now - attempt.startedAtMillis);
         if (context.suspect(request)) {
           share(now, request, attempt.upstream, Evidence.Kind.COMPLETED);
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingEffect.java
@@ -76,7 +76,9 @@
   record ReportUpstream(UpstreamId upstream, boolean failed) implements RoutingEffect {}
 
   /**
-   * Reports the requests of one shard since the last report.
+   * Reports the requests of one shard or hot key since the last report.
+   *
+   * <p>The requests of a key that is not isolated count for its shard as well.
    *
    * @param requests how many were answered
    * @param busyMillis time that upstreams spent on them
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingReducer.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/RoutingReducer.java
@@ -127,6 +127,7 @@
     context.quarantine().expire(nowMillis);
     flow.tick(nowMillis);
     flow.claims().tick(nowMillis);
+    flow.attempts().reportLoad(nowMillis);
     roles.tick(nowMillis);
   }
 
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/ServiceLoad.java
@@ -0,0 +1,94 @@
+package dev.hornbeamwheel.core.routing;
+
+import dev.hornbeamwheel.core.model.ServiceId;
+import java.util.Arrays;
+
+/** The load of one service between two reports, in primitive arrays. */
+final class ServiceLoad {
+  /** Keys that are counted one by one; a new key takes the place of the least counted. */
+  private static final int COUNTED_KEYS = 64;
+
+  /** Least share of the service's requests from which a key is reported. */
+  private static final double HOT_SHARE = 0.02;
+
+  private final int[] requests;
+  private final long[] busyMillis;
+  private final int[] touched;
+  private int touchedCount;
+  private long total;
+  private final long[] keyHashes = new long[COUNTED_KEYS];
+  private final int[] keyShards = new int[COUNTED_KEYS];
+  private final long[] keyRequests = new long[COUNTED_KEYS];
+  private final long[] keyBusyMillis = new long[COUNTED_KEYS];
+
+  ServiceLoad(int shards) {
+    requests = new int[shards];
+    busyMillis = new long[shards];
+    touched = new int[shards];
+  }
+
+  int shards() {
+    return requests.length;
+  }
+
+  void add(int shard, long keyHash, boolean isolated, long runMillis) {
+    if (!isolated) {
+      addToShard(shard, runMillis);
+    }
+    total++;
+    addToKey(shard, keyHash, runMillis);
+  }
+
+  private void addToShard(int shard, long runMillis) {
+    if (requests[shard] == 0) {
+      touched[touchedCount++] = shard;
+    }
+    requests[shard]++;
+    busyMillis[shard] += runMillis;
+  }
+
+  private void addToKey(int shard, long keyHash, long runMillis) {
+    int place = placeOf(keyHash);
+    if (keyHashes[place] != keyHash) {
+      keyHashes[place] = keyHash;
+      keyShards[place] = shard;
+      keyBusyMillis[place] = 0;
+    }
+    keyRequests[place]++;
+    keyBusyMillis[place] += runMillis;
+  }
+
+  void report(ServiceId service, Outbox outbox) {
+    for (int i = 0; i < touchedCount; i++) {
+      int shard = touched[i];
+      outbox.add(
+          new RoutingEffect.ReportLoad(service, shard, 0, requests[shard], busyMillis[shard]));
+      requests[shard] = 0;
+      busyMillis[shard] = 0;
+    }
+    for (int i = 0; i < COUNTED_KEYS; i++) {
+      if (keyRequests[i] > 0 && keyRequests[i] >= HOT_SHARE * total) {
+        outbox.add(
+            new RoutingEffect.ReportLoad(
+                service, keyShards[i], keyHashes[i], keyRequests[i], keyBusyMillis[i]));
+      }
+    }
+    Arrays.fill(keyRequests, 0);
+    Arrays.fill(keyHashes, 0);
+    Arrays.fill(keyBusyMillis, 0);
+    touchedCount = 0;
+    total = 0;
+  }
+
+  /** Returns the place of a key, or the place of the least counted key. */
+  private int placeOf(long keyHash) {
+    int least = 0;
+    for (int i = 0; i < COUNTED_KEYS; i++) {
+      if (keyHashes[i] == keyHash) {
+        return i;
+      }
+      least = keyRequests[i] < keyRequests[least] ? i : least;
+    }
+    return least;
+  }
+}
