--- a/core/src/main/java/dev/hornbeamwheel/core/routing/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/RequestFlow.java
@@ -1,6 +1,5 @@
 package dev.hornbeamwheel.core.routing;
 
-import dev.hornbeamwheel.core.claims.Claimant;
 import dev.hornbeamwheel.core.config.Service;
 import dev.hornbeamwheel.core.config.Upstream;
 import dev.hornbeamwheel.core.dispatch.SlotKey;
@@ -315,9 +314,4 @@
       default -> 0;
     };
   }
-
-  /** Returns whether a claim stands that allows a request to run. */
-  static boolean mayRun(RequestState request) {
-    return request.claimant == null || request.claimant.state() == Claimant.State.WON;
-  }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/RequestState.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/RequestState.java
@@ -37,7 +37,6 @@
   long isolatedKeyHash;
   boolean mayHaveRun;
   boolean callerGone;
-  boolean refreshed;
   boolean hedging;
   Attempt winner;
   boolean streaming;
