Let a request wait for the first share of its contract, and turn readiness on after news of peers

Change: such a request waits up to 500 ms or its deadline for the grant that it asked for; readiness waits up to 3 s for another member. Ruled out: a standing share for each router, which would cut the share of the one that has the demand.

--- a/router/src/main/java/dev/hornbeamwheel/router/RouterServer.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/RouterServer.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.router;
 
 import dev.hornbeamwheel.core.membership.Member;
+import dev.hornbeamwheel.core.membership.MemberState;
 import dev.hornbeamwheel.core.model.RequestId;
 import dev.hornbeamwheel.core.node.NodeEvent;
 import dev.hornbeamwheel.core.node.NodeIdentity;
@@ -40,6 +41,11 @@
   /** Longest time that requests in flight are waited for, in seconds. */
   private static final long DRAIN_SECONDS = 60;
 
+  /** Longest time that a start waits for other members, in milliseconds. */
+  private static final long PEERS_MILLIS = 3_000;
+
+  private static final long POLL_MILLIS = 50;
+
   /** Time for the last messages to other members, in milliseconds. */
   private static final long LEAVE_MILLIS = 200;
 
@@ -110,6 +116,7 @@
             .setHandler(callers)
             .build();
     callerServer.start();
+    awaitPeers();
     readiness.ready();
   }
 
@@ -129,6 +136,21 @@
     operatorServer.close();
   }
 
+  /** Waits for news of other members, which may know of quarantined requests. */
+  private void awaitPeers() {
+    for (long waited = 0; waited < PEERS_MILLIS && presentMembers() < 2; waited += POLL_MILLIS) {
+      pause(POLL_MILLIS);
+    }
+  }
+
+  private long presentMembers() {
+    return loop.query(this::countPresent).join();
+  }
+
+  private long countPresent() {
+    return node.members().stream().map(Member::state).filter(MemberState::present).count();
+  }
+
   private void awaitRequests() {
     try {
       performer.stopped().get(DRAIN_SECONDS, TimeUnit.SECONDS);
@@ -183,7 +205,7 @@
                     "router",
                     node.configuration().version(),
                     flow.size(),
-                    node.members().stream().map(Member::state).filter(s -> s.present()).count()))
+                    countPresent()))
         .join();
   }
 
--- a/router/src/main/java/dev/hornbeamwheel/router/admission/AdmittingReducer.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/admission/AdmittingReducer.java
@@ -10,15 +10,28 @@
 import dev.hornbeamwheel.core.node.RouterNode;
 import dev.hornbeamwheel.core.routing.RoutingEffect;
 import dev.hornbeamwheel.core.routing.RoutingEvent;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 
-/** Lets a request through to routing only if its contract admits it, and counts its end. */
+/**
+ * Lets a request through to routing only if its contract admits it, and counts its end.
+ *
+ * <p>A request whose contract has no share here yet waits a short time for the first one.
+ */
 public final class AdmittingReducer implements Reducer<NodeEvent, RouterEffect> {
+  /** Longest time that a request waits for the first share of its contract, in milliseconds. */
+  private static final long SHARE_WAIT_MILLIS = 500;
+
+  /** Requests that wait at once. */
+  private static final int MAX_WAITING = 1_000;
+
   private final RouterNode node;
   private final Map<RequestId, ContractId> admitted = new HashMap<>();
+  private final Queue<RoutingEvent.RequestArrived> waiting = new ArrayDeque<>();
 
   private AdmittingReducer(RouterNode node) {
     this.node = node;
@@ -31,33 +44,78 @@
 
   @Override
   public List<RouterEffect> reduce(NodeEvent event) {
+    List<RouterEffect> effects = new ArrayList<>();
     if (event instanceof NodeEvent.Routing routing
         && routing.event() instanceof RoutingEvent.RequestArrived arrived) {
-      return admit(arrived, event);
+      admit(arrived, effects);
+    } else {
+      pass(event, effects);
     }
-    return pass(event);
+    retryWaiting(event.atMillis(), effects);
+    return effects;
   }
 
-  private List<RouterEffect> admit(RoutingEvent.RequestArrived arrived, NodeEvent event) {
+  private void admit(RoutingEvent.RequestArrived arrived, List<RouterEffect> effects) {
     Admission admission = node.limits().admit(arrived.contract(), arrived.atMillis());
     if (admission.admitted()) {
-      admitted.put(arrived.requestId(), arrived.contract());
-      return pass(event);
+      route(arrived, effects);
+    } else if (admission == Admission.NO_SHARE && waiting.size() < MAX_WAITING) {
+      waiting.add(arrived);
+    } else {
+      refuse(arrived, admission, effects);
     }
+  }
+
+  private void route(RoutingEvent.RequestArrived arrived, List<RouterEffect> effects) {
+    admitted.put(arrived.requestId(), arrived.contract());
+    pass(new NodeEvent.Routing(arrived), effects);
+  }
+
+  private void refuse(
+      RoutingEvent.RequestArrived arrived, Admission admission, List<RouterEffect> effects) {
     long retryAfterMillis = node.limits().retryAfterMillis(arrived.contract(), arrived.atMillis());
-    return List.of(
-        new RouterEffect.Node(new NodeEffect.Log(refusal(arrived, admission))),
-        new RouterEffect.LimitReached(arrived.requestId(), retryAfterMillis));
+    effects.add(new RouterEffect.Node(new NodeEffect.Log(refusal(arrived, admission))));
+    effects.add(new RouterEffect.LimitReached(arrived.requestId(), retryAfterMillis));
+  }
+
+  /** Tries the requests again that wait for the first share of their contract. */
+  private void retryWaiting(long nowMillis, List<RouterEffect> effects) {
+    for (int i = waiting.size(); i > 0; i--) {
+      RoutingEvent.RequestArrived arrived = waiting.remove();
+      Admission admission = node.limits().admit(arrived.contract(), nowMillis);
+      if (admission.admitted()) {
+        route(at(nowMillis, arrived), effects);
+      } else if (admission == Admission.NO_SHARE && mayWait(arrived, nowMillis)) {
+        waiting.add(arrived);
+      } else {
+        refuse(at(nowMillis, arrived), admission, effects);
+      }
+    }
+  }
+
+  private static boolean mayWait(RoutingEvent.RequestArrived arrived, long nowMillis) {
+    return nowMillis < Math.min(arrived.atMillis() + SHARE_WAIT_MILLIS, arrived.deadlineMillis());
+  }
+
+  private static RoutingEvent.RequestArrived at(
+      long nowMillis, RoutingEvent.RequestArrived arrived) {
+    return new RoutingEvent.RequestArrived(
+        nowMillis,
+        arrived.requestId(),
+        arrived.contract(),
+        arrived.service(),
+        arrived.key(),
+        arrived.idempotent(),
+        arrived.idempotencyKey(),
+        arrived.fingerprint(),
+        arrived.deadlineMillis());
   }
 
-  private List<RouterEffect> pass(NodeEvent event) {
-    List<NodeEffect> effects = node.reduce(event);
-    List<RouterEffect> passed = new ArrayList<>(effects.size());
-    for (NodeEffect effect : effects) {
+  private void pass(NodeEvent event, List<RouterEffect> effects) {
+    for (NodeEffect effect : node.reduce(event)) {
       countEnd(effect);
-      passed.add(new RouterEffect.Node(effect));
+      effects.add(new RouterEffect.Node(effect));
     }
-    return passed;
   }
 
   private void countEnd(NodeEffect effect) {
