--- a/e2e/src/main/java/dev/hornbeamwheel/e2e/Fleet.java
+++ b/e2e/src/main/java/dev/hornbeamwheel/e2e/Fleet.java
@@ -54,6 +54,11 @@
     return files.hosts();
   }
 
+  /** Returns where an upstream of a drill listens. */
+  String upstreamAddress(String upstream) {
+    return files.upstreamAddress(upstream);
+  }
+
   ProgramProcess process(String name) {
     return processes.get(name);
   }
--- a/e2e/src/main/java/dev/hornbeamwheel/e2e/FleetFiles.java
+++ b/e2e/src/main/java/dev/hornbeamwheel/e2e/FleetFiles.java
@@ -4,7 +4,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -30,6 +32,7 @@
   private final List<Integer> ports;
   private int nextPort;
   private final List<Host> hosts = new ArrayList<>();
+  private final Map<String, Integer> upstreamPorts = new HashMap<>();
   private final List<Integer> platformPorts = new ArrayList<>();
   private int operatorPort;
 
@@ -88,6 +91,16 @@
     return "127.0.0.1:" + operatorPort;
   }
 
+  String upstreamAddress(String upstream) {
+    return "127.0.0.1:" + upstreamPorts.get(upstream);
+  }
+
+  private int upstreamPort(String upstream) {
+    int port = port();
+    upstreamPorts.put(upstream, port);
+    return port;
+  }
+
   private int port() {
     return ports.get(nextPort++);
   }
@@ -139,7 +152,13 @@
                 {"id": "%s-%s-%d", "service": "%s", "dataCentre": "%s",
                  "address": "127.0.0.1:%d", "slots": 2, "connections": 100}
                 """
-                    .formatted(service, dataCentre, number, service, dataCentre, port()))
+                    .formatted(
+                        service,
+                        dataCentre,
+                        number,
+                        service,
+                        dataCentre,
+                        upstreamPort(service + "-" + dataCentre + "-" + number)))
         .collect(Collectors.joining(","));
   }
 
