Let requests wait briefly for a share that follows the demand, and share the members' metrics

Retrying on every event would also have cost time in proportion to the waiting requests. Change: up to 64 requests wait up to 500 ms, retried at ticks and grants only; the router's own gauges give way to runtime.node.NodeMetrics; drills run routers with the flags of their launch script. Ruled out: tokens granted with a new share, which could exceed rate plus burst in a second.

--- a/e2e/src/main/java/dev/hornbeamwheel/e2e/LoopbackMain.java
+++ b/e2e/src/main/java/dev/hornbeamwheel/e2e/LoopbackMain.java
@@ -21,8 +21,8 @@
  */
 public final class LoopbackMain {
   private static final int ROUNDS = 3;
-  private static final int WARM_UP_CALLS = 1_500;
-  private static final int CALLS = 3_000;
+  private static final int WARM_UP_CALLS = 2_000;
+  private static final int CALLS = 2_000;
   private static final int CALLERS_THROUGH_ROUTER = 2;
   private static final long PATIENCE_MILLIS = 30_000;
   private static final String PATH = "/pages/1";
--- a/e2e/src/main/java/dev/hornbeamwheel/e2e/ProgramProcess.java
+++ b/e2e/src/main/java/dev/hornbeamwheel/e2e/ProgramProcess.java
@@ -29,14 +29,9 @@
       throws IOException {
     List<String> command =
         new ArrayList<>(
-            List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx128m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                mainClass));
+            List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+    command.addAll(JvmFlags.of(mainClass));
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
     command.addAll(List.of(arguments));
     Process process =
         new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
--- a/router/src/main/java/dev/hornbeamwheel/router/RouterServer.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/RouterServer.java
@@ -16,6 +16,7 @@
 import dev.hornbeamwheel.runtime.cli.RunningProgram;
 import dev.hornbeamwheel.runtime.loop.EventLoop;
 import dev.hornbeamwheel.runtime.metrics.Metrics;
+import dev.hornbeamwheel.runtime.node.NodeMetrics;
 import dev.hornbeamwheel.runtime.operator.OperatorServer;
 import dev.hornbeamwheel.runtime.operator.Readiness;
 import dev.hornbeamwheel.wire.PeerTransport;
@@ -100,7 +101,9 @@
 
   /** Starts to serve; throws a {@link RuntimeException} if an address cannot be listened on. */
   void start() {
-    RouterGauges.register(metrics, loop, transport, flow);
+    NodeMetrics.register(metrics, loop);
+    NodeMetrics.register(metrics, transport.counters());
+    metrics.gauge("hornbeamwheel_requests_in_flight", "Requests that callers wait for", flow::size);
     loop.start(performer, NodeEvent.Tick::new);
     operatorServer =
         OperatorServer.start(
--- a/router/src/main/java/dev/hornbeamwheel/router/admission/AdmittingReducer.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/admission/AdmittingReducer.java
@@ -7,6 +7,7 @@
 import dev.hornbeamwheel.core.model.RequestId;
 import dev.hornbeamwheel.core.node.NodeEffect;
 import dev.hornbeamwheel.core.node.NodeEvent;
+import dev.hornbeamwheel.core.node.PeerMessage;
 import dev.hornbeamwheel.core.node.RouterNode;
 import dev.hornbeamwheel.core.routing.RoutingEffect;
 import dev.hornbeamwheel.core.routing.RoutingEvent;
@@ -20,14 +21,15 @@
 /**
  * Lets a request through to routing only if its contract admits it, and counts its end.
  *
- * <p>A request whose contract has no share here yet waits a short time for the first one.
+ * <p>Shares follow the demand of each router, so a request for which there is no room in the share
+ * yet waits a short time for it to grow.
  */
 public final class AdmittingReducer implements Reducer<NodeEvent, RouterEffect> {
-  /** Longest time that a request waits for the first share of its contract, in milliseconds. */
+  /** Longest time that a request waits for its contract's share to follow, in milliseconds. */
   private static final long SHARE_WAIT_MILLIS = 500;
 
-  /** Requests that wait at once. */
-  private static final int MAX_WAITING = 1_000;
+  /** Requests that wait at once; the others are refused as soon as they come. */
+  private static final int MAX_WAITING = 64;
 
   private final RouterNode node;
   private final Map<RequestId, ContractId> admitted = new HashMap<>();
@@ -51,15 +53,23 @@
     } else {
       pass(event, effects);
     }
-    retryWaiting(event.atMillis(), effects);
+    if (mayChangeShares(event)) {
+      retryWaiting(event.atMillis(), effects);
+    }
     return effects;
   }
 
+  private static boolean mayChangeShares(NodeEvent event) {
+    return event instanceof NodeEvent.Tick
+        || (event instanceof NodeEvent.Received received
+            && received.message() instanceof PeerMessage.Limits);
+  }
+
   private void admit(RoutingEvent.RequestArrived arrived, List<RouterEffect> effects) {
     Admission admission = node.limits().admit(arrived.contract(), arrived.atMillis());
     if (admission.admitted()) {
       route(arrived, effects);
-    } else if (admission == Admission.NO_SHARE && waiting.size() < MAX_WAITING) {
+    } else if (mayHelpToWait(admission) && waiting.size() < MAX_WAITING) {
       waiting.add(arrived);
     } else {
       refuse(arrived, admission, effects);
@@ -78,14 +88,14 @@
     effects.add(new RouterEffect.LimitReached(arrived.requestId(), retryAfterMillis));
   }
 
-  /** Tries the requests again that wait for the first share of their contract. */
+  /** Tries the requests again that wait for room in the share of their contract. */
   private void retryWaiting(long nowMillis, List<RouterEffect> effects) {
     for (int i = waiting.size(); i > 0; i--) {
       RoutingEvent.RequestArrived arrived = waiting.remove();
       Admission admission = node.limits().admit(arrived.contract(), nowMillis);
       if (admission.admitted()) {
         route(at(nowMillis, arrived), effects);
-      } else if (admission == Admission.NO_SHARE && mayWait(arrived, nowMillis)) {
+      } else if (mayHelpToWait(admission) && mayWait(arrived, nowMillis)) {
         waiting.add(arrived);
       } else {
         refuse(at(nowMillis, arrived), admission, effects);
@@ -93,6 +103,11 @@
     }
   }
 
+  /** Returns whether a share that follows the demand may soon have room for the request. */
+  private static boolean mayHelpToWait(Admission admission) {
+    return admission == Admission.NO_SHARE || admission == Admission.RATE_EXCEEDED;
+  }
+
   private static boolean mayWait(RoutingEvent.RequestArrived arrived, long nowMillis) {
     return nowMillis < Math.min(arrived.atMillis() + SHARE_WAIT_MILLIS, arrived.deadlineMillis());
   }
