--- a/bench/src/main/java/dev/hornbeamwheel/bench/policy/RoutingDecision.java
+++ b/bench/src/main/java/dev/hornbeamwheel/bench/policy/RoutingDecision.java
@@ -70,7 +70,7 @@
   }
 
   /** Declares the service and gives every shard an owner. */
-  private RoutingDecision() {
+  RoutingDecision() {
     MemberId self = MemberId.of("quimper-1/router");
     Incarnation incarnation = Incarnation.of(1);
     reducer = RoutingReducer.create(new RoutingSettings(self, incarnation, QUIMPER, 1));
@@ -96,7 +96,7 @@
   }
 
   /** Routes one request to its owner and takes its answer in. */
-  private List<RoutingEffect> routeAndAnswer() {
+  List<RoutingEffect> routeAndAnswer() {
     int index = next++ & (KEYS - 1);
     if (index == 0) {
       nowMillis += 5;
