--- a/controller/src/main/java/dev/hornbeamwheel/controller/CellTable.java
+++ b/controller/src/main/java/dev/hornbeamwheel/controller/CellTable.java
@@ -13,7 +13,7 @@
 import dev.hornbeamwheel.platform.WriteResult;
 import dev.hornbeamwheel.platform.store.CellRowCodec;
 import dev.hornbeamwheel.runtime.member.NodeInbox;
-import dev.hornbeamwheel.runtime.node.PlatformErrors;
+import dev.hornbeamwheel.runtime.member.PlatformErrors;
 
 /** Reads and writes the rows of cells and posts the outcome. */
 final class CellTable {
--- a/controller/src/main/java/dev/hornbeamwheel/controller/OrderSender.java
+++ b/controller/src/main/java/dev/hornbeamwheel/controller/OrderSender.java
@@ -10,7 +10,7 @@
 import dev.hornbeamwheel.platform.PlatformFailure;
 import dev.hornbeamwheel.platform.UpstreamOrders;
 import dev.hornbeamwheel.runtime.member.NodeInbox;
-import dev.hornbeamwheel.runtime.node.PlatformErrors;
+import dev.hornbeamwheel.runtime.member.PlatformErrors;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/controller/src/main/java/dev/hornbeamwheel/controller/SharesTable.java
+++ b/controller/src/main/java/dev/hornbeamwheel/controller/SharesTable.java
@@ -12,7 +12,7 @@
 import dev.hornbeamwheel.platform.WriteResult;
 import dev.hornbeamwheel.platform.store.SharesRowCodec;
 import dev.hornbeamwheel.runtime.member.NodeInbox;
-import dev.hornbeamwheel.runtime.node.PlatformErrors;
+import dev.hornbeamwheel.runtime.member.PlatformErrors;
 import java.util.function.LongFunction;
 
 /** Reads and writes the rows that divide contracts over data centres, and posts the outcome. */
--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/Status.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/Status.java
@@ -20,6 +20,9 @@
 
 /** The command {@code status}. */
 final class Status {
+  /** Cells of contract shares own no slices; only the JSON form shows them. */
+  private static final String LIMITS = "limits:";
+
   private final CtlContext context;
   private final Changes changes;
   private final ObjectMapper json =
@@ -115,8 +118,8 @@
     context.out().println("drained upstreams: " + report.drainedUpstreams());
     context.out().println("drained data centres: " + report.drainedDataCentres());
     context.out().println("lost data centres: " + report.lostDataCentres());
-    report
-        .cells()
+    report.cells().stream()
+        .filter(cell -> !cell.cell().startsWith(LIMITS))
         .forEach(
             cell ->
                 context
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptListener.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/AttemptListener.java
@@ -22,7 +22,8 @@
   /**
    * The attempt ended; called exactly once.
    *
-   * @param incarnation incarnation of the upstream; zero if it gave none
+   * @param incarnation incarnation of the upstream; zero if it gave none or the attempt was
+   *     cancelled, since a cancelled answer may be older than the upstream's last start
    */
   void finished(AttemptOutcome outcome, long incarnation);
 }
--- a/router/src/main/java/dev/hornbeamwheel/router/upstream/OkHttpAttempt.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/upstream/OkHttpAttempt.java
@@ -38,7 +38,8 @@
     try (response) {
       Optional<AttemptOutcome> decided = AnswerHeads.decided(spec, response);
       AttemptOutcome outcome = decided.isPresent() ? decided.get() : passOn(call, response);
-      listener.finished(outcome, AnswerHeads.incarnation(response));
+      boolean used = !(outcome instanceof AttemptOutcome.Cancelled);
+      listener.finished(outcome, used ? AnswerHeads.incarnation(response) : 0);
     }
   }
 
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/node/PlatformErrors.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/member/PlatformErrors.java
@@ -1,4 +1,4 @@
-package dev.hornbeamwheel.runtime.node;
+package dev.hornbeamwheel.runtime.member;
 
 import dev.hornbeamwheel.platform.PlatformFailure;
 import dev.hornbeamwheel.runtime.metrics.Metrics;
--- a/standins/src/main/java/dev/hornbeamwheel/standins/upstream/Grants.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/upstream/Grants.java
@@ -98,10 +98,14 @@
       return outcome(renew.target(), renew.expiresAtMillis(), renew.term(), cell, nowMillis);
     }
     if (order instanceof UpstreamOrder.Replace replace) {
-      return outcome(replace.target(), replace.expiresAtMillis(), replace.term(), cell, nowMillis);
+      Outcome outcome =
+          outcome(replace.target(), replace.expiresAtMillis(), replace.term(), cell, nowMillis);
+      return outcome == Outcome.DONE ? inSequence(order, cell) : outcome;
     }
     if (order instanceof UpstreamOrder.Release release) {
-      return outcome(release.target(), release.expiresAtMillis(), release.term(), cell, nowMillis);
+      Outcome outcome =
+          outcome(release.target(), release.expiresAtMillis(), release.term(), cell, nowMillis);
+      return outcome == Outcome.DONE ? inSequence(order, cell) : outcome;
     }
     return Outcome.DONE;
   }
@@ -121,6 +125,15 @@
     return Outcome.DONE;
   }
 
+  /** Refuses a late or doubled change of the set within one term. */
+  private Outcome inSequence(UpstreamOrder order, HeldCell cell) {
+    if (fencing == Fencing.CHECKED && order.orderId() <= cell.changedBy()) {
+      return Outcome.STALE_TERM;
+    }
+    cell.changedBy(order.orderId());
+    return Outcome.DONE;
+  }
+
   private static void carryOut(UpstreamOrder order, HeldCell cell, long nowMillis) {
     if (order instanceof UpstreamOrder.Renew renew) {
       cell.renew(nowMillis, renew.expiresAtMillis());
--- a/standins/src/main/java/dev/hornbeamwheel/standins/upstream/HeldCell.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/upstream/HeldCell.java
@@ -15,6 +15,7 @@
   private Term latestTerm = Term.NONE;
   private long expiresAtMillis = Long.MIN_VALUE;
   private long setVersion;
+  private long changedBy;
 
   /** Counts the leases; a lease that lapsed and was granted anew is another one. */
   private long lease;
@@ -23,8 +24,21 @@
     return latestTerm;
   }
 
+  /** Notes a term; order ids begin anew with each later one. */
   void sawTerm(Term term) {
-    latestTerm = term.isAfter(latestTerm) ? term : latestTerm;
+    if (term.isAfter(latestTerm)) {
+      latestTerm = term;
+      changedBy = 0;
+    }
+  }
+
+  /** Returns the id of the order that last changed the set within the latest term. */
+  long changedBy() {
+    return changedBy;
+  }
+
+  void changedBy(long orderId) {
+    changedBy = orderId;
   }
 
   boolean live(long nowMillis) {
