Give names that two packages shared, or that needed explaining, to one thing each

Cause: RequestFlow and Directory stood for two classes each, and RowsOnTheMove was a phrase of its own. Change: RequestsInFlight and ContractsInForce in the router, MovingRows in core.node; Dagger's code regenerated. Ruled out: renaming core's, which more classes use.

--- a/core/src/main/java/dev/hornbeamwheel/core/node/RowsOnTheMove.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/node/MovingRows.java
@@ -12,7 +12,7 @@
  * <p>The end of a move takes a write of the table. When it is late, the new owner is tried all the
  * same: it refuses whatever it does not hold yet.
  */
-final class RowsOnTheMove {
+final class MovingRows {
   /** Time for which requests of a slice on the move are held back, in milliseconds. */
   static final long HOLD_BACK_MILLIS = 500;
 
--- a/core/src/main/java/dev/hornbeamwheel/core/node/RouterNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/node/RouterNode.java
@@ -46,7 +46,7 @@
   private final LimitsPart limits;
   private final RoutingReducer routing;
   private final LoadCollector load;
-  private final RowsOnTheMove moving = new RowsOnTheMove();
+  private final MovingRows moving = new MovingRows();
   private final RowRefresh refresh = new RowRefresh();
   private final Map<CellId, CellRow> rows = new HashMap<>();
   private final List<NodeEffect> out = new ArrayList<>();
--- a/core/src/test/java/dev/hornbeamwheel/core/node/RowsOnTheMoveTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/node/MovingRowsTest.java
@@ -15,19 +15,19 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
-final class RowsOnTheMoveTest {
+final class MovingRowsTest {
   private static final UpstreamId OLD = UpstreamId.of("old");
   private static final UpstreamId NEW = UpstreamId.of("new");
 
-  private final RowsOnTheMove moving = new RowsOnTheMove();
+  private final MovingRows moving = new MovingRows();
 
   @Test
   void holdsRequestsBackForATimeAndOnceOnly() {
     CellRow row = row(4, Optional.of(OLD));
     moving.learned(1_000, row);
 
-    assertThat(moving.due(1_000 + RowsOnTheMove.HOLD_BACK_MILLIS - 1)).isEmpty();
-    assertThat(moving.due(1_000 + RowsOnTheMove.HOLD_BACK_MILLIS)).containsExactly(row);
+    assertThat(moving.due(1_000 + MovingRows.HOLD_BACK_MILLIS - 1)).isEmpty();
+    assertThat(moving.due(1_000 + MovingRows.HOLD_BACK_MILLIS)).containsExactly(row);
     assertThat(moving.due(10_000)).isEmpty();
   }
 
--- a/router/src/main/java/dev/hornbeamwheel/router/RouterModule.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/RouterModule.java
@@ -11,7 +11,7 @@
 import dev.hornbeamwheel.platform.store.ConfigurationStore;
 import dev.hornbeamwheel.router.admission.AdmittingReducer;
 import dev.hornbeamwheel.router.admission.RouterEffect;
-import dev.hornbeamwheel.router.flow.RequestFlow;
+import dev.hornbeamwheel.router.flow.RequestsInFlight;
 import dev.hornbeamwheel.router.upstream.OkHttpUpstreamClient;
 import dev.hornbeamwheel.router.upstream.UpstreamClient;
 import dev.hornbeamwheel.runtime.logging.DecisionLog;
@@ -134,21 +134,21 @@
 
   @Provides
   @Singleton
-  static RequestFlow flow(UpstreamClient upstreams, NodeInbox inbox, Clock clock) {
-    return RequestFlow.create(
+  static RequestsInFlight flow(UpstreamClient upstreams, NodeInbox inbox, Clock clock) {
+    return RequestsInFlight.create(
         upstreams, event -> inbox.post(now -> new NodeEvent.Routing(event.apply(now))), clock);
   }
 
   @Provides
   @Singleton
-  static Directory directory() {
-    return new Directory(new AtomicReference<>(Directory.EMPTY));
+  static ContractsInForce directory() {
+    return new ContractsInForce(new AtomicReference<>(ContractsInForce.EMPTY));
   }
 
   @Provides
   @Singleton
   static RouterPerformer performer(
-      MemberIo io, RequestFlow flow, RouterMetrics metrics, Directory directory) {
+      MemberIo io, RequestsInFlight flow, RouterMetrics metrics, ContractsInForce directory) {
     return new RouterPerformer(io, flow, metrics, directory.reference()::set);
   }
 }
--- a/router/src/main/java/dev/hornbeamwheel/router/RouterPerformer.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/RouterPerformer.java
@@ -4,7 +4,7 @@
 import dev.hornbeamwheel.core.node.NodeEffect;
 import dev.hornbeamwheel.core.routing.RoutingEffect;
 import dev.hornbeamwheel.router.admission.RouterEffect;
-import dev.hornbeamwheel.router.flow.RequestFlow;
+import dev.hornbeamwheel.router.flow.RequestsInFlight;
 import dev.hornbeamwheel.router.http.ContractDirectory;
 import dev.hornbeamwheel.runtime.loop.EffectPerformer;
 import dev.hornbeamwheel.runtime.member.MemberIo;
@@ -14,13 +14,16 @@
 /** Carries out the effects of a router, on the event loop. */
 final class RouterPerformer implements EffectPerformer<RouterEffect> {
   private final MemberIo io;
-  private final RequestFlow flow;
+  private final RequestsInFlight flow;
   private final RouterMetrics metrics;
   private final Consumer<ContractDirectory> directory;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
   RouterPerformer(
-      MemberIo io, RequestFlow flow, RouterMetrics metrics, Consumer<ContractDirectory> directory) {
+      MemberIo io,
+      RequestsInFlight flow,
+      RouterMetrics metrics,
+      Consumer<ContractDirectory> directory) {
     this.io = io;
     this.flow = flow;
     this.metrics = metrics;
--- a/router/src/main/java/dev/hornbeamwheel/router/RouterServer.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/RouterServer.java
@@ -9,7 +9,7 @@
 import dev.hornbeamwheel.core.routing.RoutingEvent;
 import dev.hornbeamwheel.platform.http.HttpPlatform;
 import dev.hornbeamwheel.router.admission.RouterEffect;
-import dev.hornbeamwheel.router.flow.RequestFlow;
+import dev.hornbeamwheel.router.flow.RequestsInFlight;
 import dev.hornbeamwheel.router.http.CallerExchange;
 import dev.hornbeamwheel.router.http.CallerHandler;
 import dev.hornbeamwheel.router.http.CallerRequest;
@@ -55,7 +55,7 @@
   private final RouterNode node;
   private final EventLoop<NodeEvent, RouterEffect> loop;
   private final RouterPerformer performer;
-  private final RequestFlow flow;
+  private final RequestsInFlight flow;
   private final PeerTransport transport;
   private final HttpPlatform platform;
   private final Readiness readiness;
@@ -73,12 +73,12 @@
       RouterNode node,
       EventLoop<NodeEvent, RouterEffect> loop,
       RouterPerformer performer,
-      RequestFlow flow,
+      RequestsInFlight flow,
       PeerTransport transport,
       HttpPlatform platform,
       Readiness readiness,
       Metrics metrics,
-      Directory directory) {
+      ContractsInForce directory) {
     this.settings = settings;
     this.identity = identity;
     this.node = node;
--- a/router/src/main/java/dev/hornbeamwheel/router/flow/RequestFlow.java
+++ b/router/src/main/java/dev/hornbeamwheel/router/flow/RequestsInFlight.java
@@ -22,22 +22,22 @@
 import java.util.stream.Collectors;
 
 /** Carries out routing's effects on requests in flight; confined to the event loop. */
-public final class RequestFlow {
+public final class RequestsInFlight {
   private final UpstreamClient client;
   private final RoutingInbox inbox;
   private final Clock clock;
   private final Map<RequestId, InFlightRequest> requests = new HashMap<>();
   private Map<UpstreamId, Upstream> upstreams = Map.of();
 
-  private RequestFlow(UpstreamClient client, RoutingInbox inbox, Clock clock) {
+  private RequestsInFlight(UpstreamClient client, RoutingInbox inbox, Clock clock) {
     this.client = client;
     this.inbox = inbox;
     this.clock = clock;
   }
 
   /** Returns a flow without requests. */
-  public static RequestFlow create(UpstreamClient client, RoutingInbox inbox, Clock clock) {
-    return new RequestFlow(client, inbox, clock);
+  public static RequestsInFlight create(UpstreamClient client, RoutingInbox inbox, Clock clock) {
+    return new RequestsInFlight(client, inbox, clock);
   }
 
   /** Takes over the addresses of a configuration's upstreams. */
