--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/catalog/Catalog.java
@@ -0,0 +1,150 @@
+package dev.hornbeamwheel.core.host.catalog;
+
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What this process knows of configuration, upstreams and evacuated data centres.
+ *
+ * <p>A configuration is never replaced by an older one. An upstream that vanishes while the store
+ * was away is kept for a while, since its registration may only have lapsed.
+ */
+public final class Catalog {
+  /** Time after the store's return within which lapsed registrations come back. */
+  static final long REGISTRATION_RETURN_MILLIS = 2_000;
+
+  private final Map<UpstreamId, UpstreamEntry> upstreams = new HashMap<>();
+  private final Map<UpstreamId, Long> removalDue = new HashMap<>();
+  private final Map<Address, UpstreamLife> latestAt = new HashMap<>();
+  private final Set<DataCentreId> evacuated = new HashSet<>();
+  private FleetConfiguration configuration;
+  private boolean upstreamsKnown;
+  private long storeReturnedMillis = Long.MIN_VALUE / 2;
+
+  private Catalog() {}
+
+  /** Returns a catalog that knows nothing yet. */
+  public static Catalog empty() {
+    return new Catalog();
+  }
+
+  /** Adopts a configuration; returns false if a version as late is known already. */
+  public boolean configure(FleetConfiguration read) {
+    if (configuration != null && configuration.version() >= read.version()) {
+      return false;
+    }
+    configuration = read;
+    return true;
+  }
+
+  /** Returns the latest configuration, or empty before the first. */
+  public Optional<FleetConfiguration> configuration() {
+    return Optional.ofNullable(configuration);
+  }
+
+  /** Returns whether configuration and upstreams have been read once. */
+  public boolean complete() {
+    return configuration != null && upstreamsKnown;
+  }
+
+  /** Records that the store answers again after it did not. */
+  public void storeReturned(long nowMillis) {
+    storeReturnedMillis = nowMillis;
+  }
+
+  /** Adopts all registrations at once; those that are missing are removed. */
+  public void replaceUpstreams(long nowMillis, Collection<UpstreamEntry> entries) {
+    upstreamsKnown = true;
+    Set<UpstreamId> present = new HashSet<>();
+    entries.forEach(
+        entry -> {
+          present.add(entry.id());
+          putUpstream(entry);
+        });
+    List.copyOf(upstreams.keySet()).stream()
+        .filter(id -> !present.contains(id))
+        .forEach(id -> removeUpstream(nowMillis, id));
+  }
+
+  /** Adopts one registration. */
+  public void putUpstream(UpstreamEntry entry) {
+    upstreams.put(entry.id(), entry);
+    removalDue.remove(entry.id());
+    latestAt.merge(
+        entry.address(),
+        entry.life(),
+        (known, read) -> read.startedUnixMillis() >= known.startedUnixMillis() ? read : known);
+  }
+
+  /** Removes a registration, after a delay if the store was away a short time ago. */
+  public void removeUpstream(long nowMillis, UpstreamId id) {
+    long due = storeReturnedMillis + REGISTRATION_RETURN_MILLIS;
+    if (nowMillis < due) {
+      removalDue.putIfAbsent(id, due);
+    } else {
+      upstreams.remove(id);
+      removalDue.remove(id);
+    }
+  }
+
+  /** Carries out the removals whose delay has passed; returns whether there were any. */
+  public boolean tick(long nowMillis) {
+    List<UpstreamId> due =
+        removalDue.entrySet().stream()
+            .filter(entry -> nowMillis >= entry.getValue())
+            .map(Map.Entry::getKey)
+            .toList();
+    due.forEach(
+        id -> {
+          upstreams.remove(id);
+          removalDue.remove(id);
+        });
+    return !due.isEmpty();
+  }
+
+  /** Replaces the set of data centres that operators have taken out. */
+  public void evacuate(Set<DataCentreId> dataCentres) {
+    evacuated.clear();
+    evacuated.addAll(dataCentres);
+  }
+
+  /** Returns the registration of an upstream, or empty if it has none. */
+  public Optional<UpstreamEntry> upstream(UpstreamId id) {
+    return Optional.ofNullable(upstreams.get(id));
+  }
+
+  /** Returns the upstreams of a service that may get new work. */
+  public List<UpstreamEntry> usable(ServiceId service) {
+    return upstreams.values().stream()
+        .filter(entry -> entry.service().equals(service) && usable(entry))
+        .toList();
+  }
+
+  /** Returns whether an upstream may get new work. */
+  public boolean usable(UpstreamEntry entry) {
+    return !entry.draining() && !evacuated.contains(entry.dataCentre());
+  }
+
+  /**
+   * Returns whether a start of an upstream has surely ended: a later one was seen under its id or
+   * at its address.
+   */
+  public boolean ended(UpstreamLife life, Address address) {
+    UpstreamEntry sameId = upstreams.get(life.id());
+    if (sameId != null && sameId.life().startedUnixMillis() > life.startedUnixMillis()) {
+      return true;
+    }
+    UpstreamLife atAddress = latestAt.get(address);
+    return atAddress != null
+        && !atAddress.equals(life)
+        && atAddress.startedUnixMillis() > life.startedUnixMillis();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/catalog/FleetConfiguration.java
@@ -0,0 +1,83 @@
+package dev.hornbeamwheel.core.host.catalog;
+
+import dev.hornbeamwheel.core.model.ServiceId;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** One version of the operators' configuration; immutable. */
+public final class FleetConfiguration {
+  private static final Comparator<Route> LONGEST_PREFIX_FIRST =
+      Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+
+  private final long version;
+  private final Map<String, List<Route>> routesByHost;
+  private final Map<ServiceId, ServiceSpec> services;
+  private final CallerLimits limits;
+
+  private FleetConfiguration(
+      long version, List<Route> routes, List<ServiceSpec> services, CallerLimits limits) {
+    this.version = version;
+    this.routesByHost =
+        routes.stream()
+            .sorted(LONGEST_PREFIX_FIRST)
+            .collect(Collectors.groupingBy(Route::host, Collectors.toUnmodifiableList()));
+    this.services =
+        services.stream()
+            .collect(
+                Collectors.toUnmodifiableMap(
+                    ServiceSpec::id, Function.identity(), (first, second) -> second));
+    this.limits = limits;
+  }
+
+  /** Returns a configuration; later versions have greater numbers. */
+  public static FleetConfiguration of(
+      long version, List<Route> routes, List<ServiceSpec> services, CallerLimits limits) {
+    return new FleetConfiguration(version, routes, services, limits);
+  }
+
+  /** Returns the number of the version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the bounds on what callers send. */
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /** Returns what is declared of a service, or empty if it is not declared. */
+  public Optional<ServiceSpec> service(ServiceId id) {
+    return Optional.ofNullable(services.get(id));
+  }
+
+  /** Returns the services whose keys have owners. */
+  public List<ServiceSpec> keyedServices() {
+    return services.values().stream()
+        .filter(ServiceSpec::keyed)
+        .sorted(Comparator.comparing(ServiceSpec::id))
+        .toList();
+  }
+
+  /**
+   * Returns the route with the longest prefix of the path, or empty if none matches.
+   *
+   * @param host value of the Host header, with or without a port
+   * @param path path of the request, without the query
+   */
+  public Optional<Route> route(String host, String path) {
+    String name = withoutPort(host).toLowerCase(Locale.ROOT);
+    return routesByHost.getOrDefault(name, List.of()).stream()
+        .filter(route -> route.matches(name, path))
+        .findFirst();
+  }
+
+  private static String withoutPort(String host) {
+    int colon = host.lastIndexOf(':');
+    return colon < 0 ? host : host.substring(0, colon);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantClock.java
@@ -0,0 +1,104 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How long an upstream may hold a range, judged from the grants that were sent to it.
+ *
+ * <p>The hold runs from the arrival of a grant, so an answered grant ends at the latest one hold
+ * after its answer. An unanswered one may be carried out late, but its time still counts from its
+ * arrival, which is before the call was reset.
+ */
+final class GrantClock {
+  /** A call without an answer is reset after this time, in milliseconds. */
+  static final long CALL_MILLIS = 700;
+
+  /** What an order may spend on its way after the reset, in milliseconds. */
+  private static final long FLIGHT_MILLIS = 100;
+
+  /** Clocks of upstreams may be slower than ours by one in so many. */
+  private static final long DRIFT_ONE_IN = 50;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  /**
+   * A grant without an answer so far.
+   *
+   * @param endsBy when its hold has surely run out if it is never answered
+   */
+  private record OpenGrant(long holdMillis, long endsBy) {}
+
+  private final Map<Long, OpenGrant> open = new HashMap<>();
+  private long answeredUntil = NEVER;
+  private long unansweredUntil = NEVER;
+
+  private GrantClock() {}
+
+  static GrantClock neverGranted() {
+    return new GrantClock();
+  }
+
+  /** Returns the clock of a range that earlier coordinators may have granted until a time. */
+  static GrantClock grantedUntil(long untilMillis) {
+    GrantClock clock = new GrantClock();
+    clock.answeredUntil = untilMillis;
+    return clock;
+  }
+
+  GrantClock copy() {
+    GrantClock copy = new GrantClock();
+    copy.open.putAll(open);
+    copy.answeredUntil = answeredUntil;
+    copy.unansweredUntil = unansweredUntil;
+    return copy;
+  }
+
+  /** Returns when the hold of a grant that is sent now has surely run out. */
+  static long longest(long nowMillis, long holdMillis) {
+    return nowMillis + CALL_MILLIS + FLIGHT_MILLIS + stretched(holdMillis);
+  }
+
+  void sent(long nowMillis, long order, long holdMillis) {
+    open.put(order, new OpenGrant(holdMillis, longest(nowMillis, holdMillis)));
+  }
+
+  void answered(long nowMillis, long order) {
+    OpenGrant grant = open.remove(order);
+    if (grant != null) {
+      answeredUntil =
+          Math.max(answeredUntil, nowMillis + FLIGHT_MILLIS + stretched(grant.holdMillis()));
+    }
+  }
+
+  void unanswered(long order) {
+    OpenGrant grant = open.remove(order);
+    if (grant != null) {
+      unansweredUntil = Math.max(unansweredUntil, grant.endsBy());
+    }
+  }
+
+  void refused(long order) {
+    open.remove(order);
+  }
+
+  /** Returns whether a grant may still be on its way. */
+  boolean waiting() {
+    return !open.isEmpty();
+  }
+
+  /** Returns the time after which the upstream surely holds the range no more. */
+  long endsBy() {
+    long openUntil = open.values().stream().mapToLong(OpenGrant::endsBy).max().orElse(NEVER);
+    return Math.max(openUntil, Math.max(answeredUntil, unansweredUntil));
+  }
+
+  /** Returns the time after which no unanswered grant can still take effect. */
+  long unansweredUntil() {
+    return unansweredUntil;
+  }
+
+  private static long stretched(long holdMillis) {
+    return holdMillis + holdMillis / DRIFT_ONE_IN;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyDemand.java
@@ -0,0 +1,86 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/** How many requests a second the keys of one service got lately. */
+public final class KeyDemand {
+  /** Span over which requests are counted, in milliseconds. */
+  static final long WINDOW_MILLIS = 4_000;
+
+  /** Most requests that are remembered. */
+  private static final int MAX_SAMPLES = 4_000;
+
+  /** Requests a second that all keys together get at least, spread evenly. */
+  private static final double BACKGROUND_PER_SECOND = 2;
+
+  private record Sample(long atMillis, int key) {}
+
+  private final Deque<Sample> samples = new ArrayDeque<>();
+  private final NavigableMap<Integer, Integer> counts = new TreeMap<>();
+  private long startedMillis = -1;
+  private long nowMillis;
+
+  private KeyDemand() {}
+
+  /** Returns a demand of no requests. */
+  public static KeyDemand none() {
+    return new KeyDemand();
+  }
+
+  /** Counts a request. */
+  public void add(long atMillis, int key) {
+    if (startedMillis < 0) {
+      startedMillis = atMillis;
+    }
+    samples.addLast(new Sample(atMillis, key));
+    counts.merge(key, 1, Integer::sum);
+    if (samples.size() > MAX_SAMPLES) {
+      forgetOldest();
+    }
+  }
+
+  /** Forgets requests that are older than the window. */
+  public void advance(long millis) {
+    nowMillis = millis;
+    while (!samples.isEmpty() && samples.peekFirst().atMillis() < millis - WINDOW_MILLIS) {
+      forgetOldest();
+    }
+  }
+
+  /** Returns the requests a second for a range of keys. */
+  double perSecond(KeyRange range) {
+    return counted(range) + background(range.size());
+  }
+
+  /** Returns the requests a second for one key, above the even background. */
+  double perSecond(int key) {
+    return counts.getOrDefault(key, 0) / spanSeconds();
+  }
+
+  /** Returns the keys of a range that got requests, with their numbers of requests. */
+  NavigableMap<Integer, Integer> requested(KeyRange range) {
+    return counts.subMap(range.first(), true, range.last(), true);
+  }
+
+  double background(int keys) {
+    return BACKGROUND_PER_SECOND * keys / (KeyRange.MAX_KEY + 1);
+  }
+
+  private double counted(KeyRange range) {
+    return requested(range).values().stream().mapToInt(Integer::intValue).sum() / spanSeconds();
+  }
+
+  private double spanSeconds() {
+    long oldest = samples.isEmpty() ? startedMillis : samples.peekFirst().atMillis();
+    long span = Math.min(WINDOW_MILLIS, Math.max(1_000, nowMillis - oldest));
+    return span / 1_000.0;
+  }
+
+  private void forgetOldest() {
+    Sample oldest = samples.removeFirst();
+    counts.computeIfPresent(oldest.key(), (key, count) -> count == 1 ? null : count - 1);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -0,0 +1,472 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import dev.hornbeamwheel.core.host.catalog.Catalog;
+import dev.hornbeamwheel.core.host.catalog.UpstreamEntry;
+import dev.hornbeamwheel.core.host.catalog.UpstreamLife;
+import dev.hornbeamwheel.core.host.keys.OwnedRange.Phase;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * The owners of the keys of one service during one term of the coordinator.
+ *
+ * <p>A change is written to the store first. Then the owner before is asked to release the keys,
+ * and the new owner gets its grant when the release is answered, or when the old grant has surely
+ * run out, or when a later start at the old owner's address shows that it is gone.
+ */
+public final class KeyedService {
+  /** Hold of a grant while all is well, in milliseconds. */
+  static final long HOLD_MILLIS = 6_000;
+
+  /** Hold of a grant that only asks whether a silent upstream is back, in milliseconds. */
+  private static final long PROBE_HOLD_MILLIS = 200;
+
+  /** Time between two renewals of a range, in milliseconds. */
+  static final long RENEW_MILLIS = 1_200;
+
+  /** Pause after a failed order, in milliseconds. */
+  private static final long ORDER_RETRY_MILLIS = 250;
+
+  /** Time that a hand-over usually takes, in milliseconds. */
+  private static final long HAND_OVER_MILLIS = 150;
+
+  /** Time between two looks at where keys belong, in milliseconds. */
+  static final long PLAN_MILLIS = 300;
+
+  /** Pause before a table is read or written again after a failure, in milliseconds. */
+  private static final long STORE_RETRY_MILLIS = 200;
+
+  /** Part of a data centre's owners that must be silent for it to count as cut off. */
+  private static final double CUT_OFF_PART = 0.6;
+
+  /** Keys of a data centre that is cut off stay there for so long, in milliseconds. */
+  static final long CUT_OFF_PATIENCE_MILLIS = 7_000;
+
+  private final ServiceId service;
+  private final Catalog catalog;
+  private final Capacity capacity;
+  private final long holdMaxMillis;
+  private final KeyDemand demand;
+  private final UpstreamContact contact = new UpstreamContact();
+  private final Map<Long, OwnedRange> orders = new HashMap<>();
+  private final Map<DataCentreId, Long> silentSince = new HashMap<>();
+  private final List<KeyEffect> out = new ArrayList<>();
+
+  private List<OwnedRange> ranges = List.of();
+  private TableProposal proposed = TableProposal.none();
+  private boolean loaded;
+  private boolean storeBusy;
+  private long version;
+  private long nextFence = 1;
+  private long inheritedUntil;
+  private long storeDueMillis;
+  private long planDueMillis;
+  private long nextOrder = 1;
+  private boolean unsettled;
+  private long revision;
+
+  private KeyedService(
+      ServiceId service, Catalog catalog, Capacity capacity, KeyDemand demand, long holdMaxMillis) {
+    this.service = service;
+    this.catalog = catalog;
+    this.capacity = capacity;
+    this.demand = demand;
+    this.holdMaxMillis = holdMaxMillis;
+  }
+
+  /**
+   * Returns the owners of a service at the start of a term; nothing is known before the table has
+   * been read.
+   *
+   * @param holdMaxMillis longest hold that upstreams accept, in milliseconds
+   */
+  public static KeyedService startTerm(
+      long nowMillis,
+      ServiceId service,
+      Catalog catalog,
+      Capacity capacity,
+      KeyDemand demand,
+      long holdMaxMillis) {
+    KeyedService started = new KeyedService(service, catalog, capacity, demand, holdMaxMillis);
+    started.inheritedUntil = GrantClock.longest(nowMillis, holdMaxMillis);
+    return started;
+  }
+
+  /** Returns a number that grows whenever {@link #owners()} may have changed. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Returns whether the table has been read in this term. */
+  public boolean loaded() {
+    return loaded;
+  }
+
+  /** Returns the owner that holds a key, or empty while the key changes its owner. */
+  public Optional<UpstreamId> holder(int key) {
+    return ranges.stream()
+        .filter(range -> range.range().contains(key))
+        .filter(range -> range.phase() == Phase.HELD)
+        .map(range -> range.assignment().owner().life().id())
+        .findFirst();
+  }
+
+  /** Returns the fencing token of a key's owner; zero if there is none. */
+  public long fence(int key) {
+    return ranges.stream()
+        .filter(range -> range.range().contains(key))
+        .mapToLong(range -> range.assignment().owner().fence())
+        .findFirst()
+        .orElse(0);
+  }
+
+  /** Returns when a key will probably have a holder; {@code nowMillis} if it has one. */
+  public long readyMillis(long nowMillis, int key) {
+    return ranges.stream()
+        .filter(range -> range.range().contains(key))
+        .mapToLong(range -> readyMillis(nowMillis, range))
+        .findFirst()
+        .orElse(nowMillis + HAND_OVER_MILLIS);
+  }
+
+  private long readyMillis(long nowMillis, OwnedRange range) {
+    if (range.phase() == Phase.HELD) {
+      boolean lost = contact.suspect(nowMillis, range.assignment().owner().life());
+      return lost ? Math.max(nowMillis, range.owner().endsBy()) : nowMillis;
+    }
+    boolean silent =
+        range.phase() == Phase.RELEASING
+            && range
+                .assignment()
+                .previous()
+                .filter(previous -> contact.suspect(nowMillis, previous.life()))
+                .isPresent();
+    return silent ? range.previous().endsBy() : nowMillis + HAND_OVER_MILLIS;
+  }
+
+  /** Returns all assignments, sorted by range. */
+  public List<KeyAssignment> owners() {
+    return ranges.stream().map(OwnedRange::assignment).toList();
+  }
+
+  /**
+   * Sends what is due.
+   *
+   * @param storeDoubtful whether the store may be away, so that holds are to last long
+   */
+  public List<KeyEffect> tick(long nowMillis, boolean storeDoubtful) {
+    demand.advance(nowMillis);
+    if (!loaded) {
+      readTable(nowMillis);
+      return drain();
+    }
+    noteSilence(nowMillis);
+    ranges.forEach(range -> advance(nowMillis, range, storeDoubtful));
+    if (!storeBusy && nowMillis >= storeDueMillis && nowMillis >= planDueMillis) {
+      planDueMillis = nowMillis + PLAN_MILLIS;
+      plan(nowMillis);
+    }
+    return drain();
+  }
+
+  /** Makes the next tick look at where keys belong, since upstreams changed. */
+  public void upstreamsChanged() {
+    planDueMillis = 0;
+  }
+
+  /** Takes the answer to {@link KeyEffect.ReadTable}. */
+  public List<KeyEffect> tableRead(long nowMillis, TableRead result) {
+    storeBusy = false;
+    if (result instanceof TableRead.Found found) {
+      adopt(found);
+    } else {
+      storeDueMillis = nowMillis + STORE_RETRY_MILLIS;
+    }
+    return drain();
+  }
+
+  /** Takes the answer to {@link KeyEffect.WriteTable}. */
+  public List<KeyEffect> tableWritten(long nowMillis, TableWrite result) {
+    storeBusy = false;
+    if (result instanceof TableWrite.Written written) {
+      version = written.version();
+      nextFence = proposed.table().nextFence();
+      unsettled = false;
+      ranges = proposed.apply();
+      revision++;
+    } else if (result instanceof TableWrite.Unsettled) {
+      storeDueMillis = nowMillis + STORE_RETRY_MILLIS;
+      storeBusy = true;
+      out.add(new KeyEffect.ReadTable(service));
+    } else {
+      storeDueMillis = nowMillis + STORE_RETRY_MILLIS;
+    }
+    return drain();
+  }
+
+  /** Takes the answer to an order. */
+  public List<KeyEffect> orderEnded(long nowMillis, long order, OrderResult result) {
+    settleClocks(nowMillis, order, result);
+    OwnedRange range = orders.remove(order);
+    if (range == null) {
+      return drain();
+    }
+    if (range.phase() == Phase.RELEASING) {
+      releaseEnded(nowMillis, range, result);
+    } else {
+      grantEnded(nowMillis, order, range, result);
+    }
+    return drain();
+  }
+
+  /** Tells each clock on which a grant is open, as the range may have been split meanwhile. */
+  private void settleClocks(long nowMillis, long order, OrderResult result) {
+    ranges.stream()
+        .flatMap(range -> Stream.of(range.owner(), range.previous()))
+        .forEach(
+            clock -> {
+              if (result instanceof OrderResult.Done) {
+                clock.answered(nowMillis, order);
+              } else if (result instanceof OrderResult.Unanswered) {
+                clock.unanswered(order);
+              } else {
+                clock.refused(order);
+              }
+            });
+  }
+
+  private void readTable(long nowMillis) {
+    if (!storeBusy && nowMillis >= storeDueMillis) {
+      storeBusy = true;
+      out.add(new KeyEffect.ReadTable(service));
+    }
+  }
+
+  /** Adopts a table that was read: at the start of the term, or after a write in doubt. */
+  private void adopt(TableRead.Found found) {
+    if (loaded && found.version() == version) {
+      return;
+    }
+    KeyTable table = found.table().orElseGet(KeyTable::empty);
+    version = found.version();
+    nextFence = table.nextFence();
+    Map<KeyAssignment, OwnedRange> known =
+        ranges.stream()
+            .collect(Collectors.toMap(OwnedRange::assignment, range -> range, (a, b) -> a));
+    long grantedUntil = inheritedUntil;
+    if (loaded && proposed.table().equals(table)) {
+      ranges = proposed.apply();
+    } else {
+      ranges =
+          table.assignments().stream()
+              .map(
+                  assignment ->
+                      known.getOrDefault(
+                          assignment, OwnedRange.inherited(assignment, grantedUntil)))
+              .collect(Collectors.toList());
+    }
+    loaded = true;
+    revision++;
+    note("keys-loaded", "version " + version, ranges.size() + " ranges");
+  }
+
+  private void advance(long nowMillis, OwnedRange range, boolean storeDoubtful) {
+    if (range.phase() == Phase.RELEASING) {
+      release(nowMillis, range);
+    }
+    if (range.phase() != Phase.RELEASING && range.idle(nowMillis)) {
+      grant(nowMillis, range, storeDoubtful);
+    }
+  }
+
+  private void release(long nowMillis, OwnedRange range) {
+    KeyOwner previous = range.assignment().previous().orElseThrow();
+    if (catalog.ended(previous.life(), previous.address())
+        || nowMillis > range.previous().endsBy()
+        || (range.released() && nowMillis > range.previous().unansweredUntil())) {
+      range.nobodyHolds();
+      return;
+    }
+    // A grant that is still open could arrive after the release.
+    if (range.released() || range.previous().waiting() || !range.idle(nowMillis)) {
+      return;
+    }
+    long order = order(range, false);
+    out.add(new KeyEffect.Release(order, previous.address(), range.range(), previous.fence()));
+  }
+
+  private void releaseEnded(long nowMillis, OwnedRange range, OrderResult result) {
+    range.orderEnded(nowMillis + ORDER_RETRY_MILLIS);
+    if (result instanceof OrderResult.Done done) {
+      range.releasedWith(done.handover());
+      release(nowMillis, range);
+    }
+  }
+
+  private void grant(long nowMillis, OwnedRange range, boolean storeDoubtful) {
+    KeyOwner owner = range.assignment().owner();
+    if (range.fenced() || catalog.ended(owner.life(), owner.address())) {
+      return;
+    }
+    long hold = storeDoubtful ? holdMaxMillis : Math.min(HOLD_MILLIS, holdMaxMillis);
+    if (contact.suspect(nowMillis, owner.life()) && !cutOff(owner)) {
+      // Longer holds would keep the keys of a lost upstream from others.
+      hold = PROBE_HOLD_MILLIS;
+      if (GrantClock.longest(nowMillis, hold) > range.owner().endsBy()) {
+        return;
+      }
+    }
+    contact.asked(nowMillis, owner.life());
+    long order = order(range, true);
+    range.owner().sent(nowMillis, order, hold);
+    out.add(
+        new KeyEffect.Grant(
+            order, owner.address(), range.range(), owner.fence(), hold, range.handover()));
+  }
+
+  private void grantEnded(long nowMillis, long order, OwnedRange range, OrderResult result) {
+    UpstreamLife life = range.assignment().owner().life();
+    if (result instanceof OrderResult.Done) {
+      range.owner().answered(nowMillis, order);
+      contact.answered(nowMillis, life);
+      range.orderEnded(nowMillis + RENEW_MILLIS);
+      if (range.phase() == Phase.GRANTING) {
+        range.held();
+        unsettled |= range.assignment().previous().isPresent();
+        revision++;
+      }
+      return;
+    }
+    range.orderEnded(nowMillis + ORDER_RETRY_MILLIS);
+    if (result instanceof OrderResult.Fenced) {
+      range.fencedOff();
+      note("keys-fenced", life.id() + " " + range.range(), "a greater fence was seen");
+    } else {
+      contact.failed(life);
+    }
+  }
+
+  private long order(OwnedRange range, boolean grant) {
+    long order = nextOrder++;
+    orders.put(order, range);
+    range.ordered(order, grant);
+    return order;
+  }
+
+  /** Notes since when most owners of a data centre are silent. */
+  private void noteSilence(long nowMillis) {
+    Map<DataCentreId, List<KeyOwner>> byDataCentre =
+        ranges.stream()
+            .map(range -> range.assignment().owner())
+            .filter(owner -> catalog.upstream(owner.life().id()).isPresent())
+            .collect(
+                Collectors.groupingBy(
+                    owner -> catalog.upstream(owner.life().id()).orElseThrow().dataCentre()));
+    byDataCentre.forEach(
+        (dataCentre, owners) -> {
+          long silent =
+              owners.stream().filter(owner -> contact.suspect(nowMillis, owner.life())).count();
+          if (silent >= 2 && silent > owners.size() * CUT_OFF_PART) {
+            silentSince.putIfAbsent(dataCentre, nowMillis);
+          } else {
+            silentSince.remove(dataCentre);
+          }
+        });
+  }
+
+  private boolean cutOff(KeyOwner owner) {
+    return catalog
+        .upstream(owner.life().id())
+        .map(entry -> silentSince.containsKey(entry.dataCentre()))
+        .orElse(false);
+  }
+
+  private void plan(long nowMillis) {
+    List<UpstreamEntry> fit = fit(nowMillis);
+    if (fit.isEmpty()) {
+      return;
+    }
+    if (ranges.isEmpty()) {
+      proposeFirst(fit);
+      return;
+    }
+    List<KeyPlanner.View> views =
+        ranges.stream()
+            .filter(range -> range.phase() != Phase.RELEASING)
+            .filter(range -> range.phase() == Phase.HELD || orphaned(nowMillis, range))
+            .map(
+                range ->
+                    new KeyPlanner.View(
+                        range.range(),
+                        range.assignment().owner().life().id(),
+                        orphaned(nowMillis, range)))
+            .toList();
+    List<KeyMove> moves = KeyPlanner.plan(views, fit, demand, capacity);
+    if (!moves.isEmpty() || unsettled) {
+      propose(moves);
+    }
+  }
+
+  private List<UpstreamEntry> fit(long nowMillis) {
+    Predicate<UpstreamEntry> silent = entry -> contact.suspect(nowMillis, entry.life());
+    List<UpstreamEntry> usable = catalog.usable(service);
+    List<UpstreamEntry> answering = usable.stream().filter(silent.negate()).toList();
+    return answering.isEmpty() ? usable : answering;
+  }
+
+  private boolean orphaned(long nowMillis, OwnedRange range) {
+    KeyOwner owner = range.assignment().owner();
+    if (range.fenced() || catalog.ended(owner.life(), owner.address())) {
+      return true;
+    }
+    Optional<UpstreamEntry> entry = catalog.upstream(owner.life().id());
+    if (entry.isEmpty() || !catalog.usable(entry.get())) {
+      return true;
+    }
+    if (!contact.suspect(nowMillis, owner.life())) {
+      return false;
+    }
+    Long since = silentSince.get(entry.get().dataCentre());
+    return since != null
+        ? nowMillis - since > CUT_OFF_PATIENCE_MILLIS
+        : nowMillis > range.owner().endsBy() - PLAN_MILLIS;
+  }
+
+  private void proposeFirst(List<UpstreamEntry> fit) {
+    proposed = TableProposal.first(KeyPlanner.firstOwners(fit, capacity), nextFence);
+    write("keys-first", proposed.size() + " ranges");
+  }
+
+  private void propose(List<KeyMove> moves) {
+    ranges.stream().filter(range -> range.phase() == Phase.HELD).forEach(OwnedRange::settle);
+    proposed = TableProposal.moving(ranges, moves, nextFence);
+    moves.forEach(
+        move -> note("keys-move", move.range() + " to " + move.target().id(), move.reason()));
+    write("keys-write", moves.size() + " moves");
+  }
+
+  private void write(String decision, String what) {
+    storeBusy = true;
+    out.add(new KeyEffect.WriteTable(service, proposed.table(), version));
+    note(decision, "version " + version, what);
+  }
+
+  private void note(String decision, String subject, String reason) {
+    out.add(new KeyEffect.Note(decision, service, subject, reason));
+  }
+
+  private List<KeyEffect> drain() {
+    List<KeyEffect> effects = List.copyOf(out);
+    out.clear();
+    return effects;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OrderResult.java
@@ -0,0 +1,22 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import java.util.Optional;
+
+/** What became of an order to an upstream. */
+public sealed interface OrderResult {
+  /**
+   * The upstream carried the order out.
+   *
+   * @param handover what it passes on to the next owner, after a release
+   */
+  record Done(Optional<String> handover) implements OrderResult {}
+
+  /** The upstream has seen a greater fencing token on one of the keys, and did nothing. */
+  record Fenced() implements OrderResult {}
+
+  /** The upstream refused the order for another reason, and did nothing. */
+  record Refused(int status) implements OrderResult {}
+
+  /** No answer arrived; the order may have been carried out, or may still be. */
+  record Unanswered(String reason) implements OrderResult {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/TableRead.java
@@ -0,0 +1,17 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import java.util.Optional;
+
+/** What became of reading a table. */
+public sealed interface TableRead {
+  /**
+   * The store answered.
+   *
+   * @param table the table, or empty if there is no row
+   * @param version version of the row; zero if there is none
+   */
+  record Found(Optional<KeyTable> table, long version) implements TableRead {}
+
+  /** The store did not answer. */
+  record Failed() implements TableRead {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines, as data. */
+package dev.hornbeamwheel.core.host.log;
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -0,0 +1,262 @@
+package dev.hornbeamwheel.core.host.node;
+
+import dev.hornbeamwheel.core.host.catalog.Catalog;
+import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
+import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.host.keys.KeyAssignment;
+import dev.hornbeamwheel.core.host.keys.KeyDemand;
+import dev.hornbeamwheel.core.host.keys.KeyEffect;
+import dev.hornbeamwheel.core.host.keys.KeyedService;
+import dev.hornbeamwheel.core.host.keys.OrderResult;
+import dev.hornbeamwheel.core.host.keys.TableRead;
+import dev.hornbeamwheel.core.host.keys.TableWrite;
+import dev.hornbeamwheel.core.host.log.LogEntry;
+import dev.hornbeamwheel.core.host.slots.Ask;
+import dev.hornbeamwheel.core.host.slots.KeyLookup;
+import dev.hornbeamwheel.core.host.slots.LinkId;
+import dev.hornbeamwheel.core.host.slots.SlotBroker;
+import dev.hornbeamwheel.core.host.slots.SlotEffect;
+import dev.hornbeamwheel.core.host.slots.Ticket;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** The work of the coordinator during one term: slots for all hosts, owners for all keys. */
+final class Coordinator {
+  /** Time between two heartbeats to each host, in milliseconds. */
+  static final long HEARTBEAT_MILLIS = 200;
+
+  private final long term;
+  private final HostIdentity self;
+  private final Catalog catalog;
+  private final SlotBroker broker;
+  private final Map<LinkId, DataCentreId> links = new LinkedHashMap<>();
+  private final Map<ServiceId, KeyedService> keyed = new HashMap<>();
+  private final Map<ServiceId, KeyDemand> demands = new HashMap<>();
+  private final Map<ServiceId, Long> toldRevision = new HashMap<>();
+  private final List<HostEffect> out = new ArrayList<>();
+  private long heartbeatDue;
+  private long nowMillis;
+
+  Coordinator(long nowMillis, long term, HostIdentity self, Catalog catalog) {
+    this.term = term;
+    this.self = self;
+    this.catalog = catalog;
+    this.broker = SlotBroker.create(catalog, new Owners());
+    this.nowMillis = nowMillis;
+  }
+
+  long term() {
+    return term;
+  }
+
+  /** Takes a message of a host. */
+  List<HostEffect> receive(long now, LinkId link, HostMessage message) {
+    nowMillis = now;
+    if (message instanceof HostMessage.Hello hello) {
+      links.put(link, hello.dataCentre());
+      keyed.keySet().forEach(service -> tellOwners(link, service));
+      tell(link, heartbeat(true));
+    } else if (message instanceof HostMessage.Ask ask) {
+      answer(broker.ask(now, ask(now, link, ask)));
+    } else if (message instanceof HostMessage.Cancel cancel) {
+      answer(broker.cancel(now, new Ticket(link, cancel.ask())));
+    } else if (message instanceof HostMessage.Done done) {
+      Ticket ticket = new Ticket(link, done.ask());
+      answer(
+          broker.done(
+              now,
+              ticket,
+              done.upstream(),
+              done.completion(),
+              done.ranMillis(),
+              done.workPercent()));
+    } else if (message instanceof HostMessage.Hold hold) {
+      broker.hold(now, new Ticket(link, hold.ask()), hold.upstream());
+    }
+    return drain();
+  }
+
+  /** Forgets a host whose connection ended. */
+  List<HostEffect> hostGone(long now, LinkId link) {
+    nowMillis = now;
+    links.remove(link);
+    answer(broker.dropLink(now, link));
+    return drain();
+  }
+
+  /** Notes that upstreams, evacuations or the configuration changed. */
+  void catalogChanged() {
+    keyed.values().forEach(KeyedService::upstreamsChanged);
+  }
+
+  /**
+   * Does what is due.
+   *
+   * @param leased whether this process surely holds the lease; without it, no keys are touched
+   * @param storeDoubtful whether the store may be away
+   */
+  List<HostEffect> tick(long now, boolean leased, boolean storeDoubtful) {
+    nowMillis = now;
+    startServices(now);
+    if (leased) {
+      keyed.forEach((service, owners) -> perform(service, owners.tick(now, storeDoubtful)));
+    }
+    answer(broker.tick(now));
+    tellChangedOwners();
+    if (now >= heartbeatDue) {
+      heartbeatDue = now + HEARTBEAT_MILLIS;
+      links.keySet().forEach(link -> tell(link, heartbeat(leased)));
+    }
+    return drain();
+  }
+
+  List<HostEffect> tableRead(long now, ServiceId service, TableRead result) {
+    Optional.ofNullable(keyed.get(service))
+        .ifPresent(owners -> perform(service, owners.tableRead(now, result)));
+    return drain();
+  }
+
+  List<HostEffect> tableWritten(long now, ServiceId service, TableWrite result) {
+    Optional.ofNullable(keyed.get(service))
+        .ifPresent(owners -> perform(service, owners.tableWritten(now, result)));
+    return drain();
+  }
+
+  List<HostEffect> orderEnded(long now, ServiceId service, long order, OrderResult result) {
+    Optional.ofNullable(keyed.get(service))
+        .ifPresent(owners -> perform(service, owners.orderEnded(now, order, result)));
+    return drain();
+  }
+
+  private void startServices(long now) {
+    catalog.configuration().map(FleetConfiguration::keyedServices).orElse(List.of()).stream()
+        .map(ServiceSpec::id)
+        .filter(service -> !keyed.containsKey(service))
+        .forEach(
+            service -> {
+              KeyDemand demand = KeyDemand.none();
+              demands.put(service, demand);
+              keyed.put(
+                  service,
+                  KeyedService.startTerm(
+                      now,
+                      service,
+                      catalog,
+                      entry -> broker.requestsPerSecond(nowMillis, entry),
+                      demand,
+                      self.holdMaxMillis()));
+            });
+  }
+
+  private Ask ask(long now, LinkId link, HostMessage.Ask ask) {
+    ask.key()
+        .ifPresent(
+            key ->
+                Optional.ofNullable(demands.get(ask.service()))
+                    .ifPresent(demand -> demand.add(now, key)));
+    return new Ask(
+        link,
+        ask.ask(),
+        links.getOrDefault(link, self.dataCentre()),
+        ask.service(),
+        ask.key(),
+        ask.priority(),
+        now,
+        now + ask.deadlineMillis(),
+        now + ask.targetMillis(),
+        ask.large(),
+        ask.avoid());
+  }
+
+  private void perform(ServiceId service, List<KeyEffect> effects) {
+    effects.forEach(
+        effect -> {
+          if (effect instanceof KeyEffect.Note note) {
+            out.add(
+                new HostEffect.Log(
+                    LogEntry.of(note.decision())
+                        .with("term", term)
+                        .with("service", service.value())
+                        .with("subject", note.subject())
+                        .with("reason", note.reason())));
+          } else {
+            out.add(new HostEffect.Keys(term, service, effect));
+          }
+        });
+  }
+
+  private void answer(List<SlotEffect> effects) {
+    effects.forEach(
+        effect -> {
+          LinkId link = effect.ticket().link();
+          long ask = effect.ticket().ask();
+          if (effect instanceof SlotEffect.Give give) {
+            tell(link, new HostMessage.Give(ask, give.upstream(), give.fence()));
+          } else if (effect instanceof SlotEffect.Refuse refuse) {
+            tell(link, new HostMessage.Refuse(ask, refuse.retryAfterMillis(), refuse.reason()));
+          }
+        });
+  }
+
+  private void tellChangedOwners() {
+    keyed.forEach(
+        (service, owners) -> {
+          if (!Long.valueOf(owners.revision()).equals(toldRevision.get(service))) {
+            toldRevision.put(service, owners.revision());
+            links.keySet().forEach(link -> tellOwners(link, service));
+          }
+        });
+  }
+
+  private void tellOwners(LinkId link, ServiceId service) {
+    KeyedService owners = keyed.get(service);
+    if (owners.loaded()) {
+      Map<Integer, UpstreamId> byFirstKey = new TreeMap<>();
+      for (KeyAssignment assignment : owners.owners()) {
+        byFirstKey.put(assignment.range().first(), assignment.owner().life().id());
+      }
+      tell(link, new HostMessage.KeyMap(service, byFirstKey));
+    }
+  }
+
+  private HostMessage heartbeat(boolean leased) {
+    return new HostMessage.Heartbeat(term, leased, links.size());
+  }
+
+  private void tell(LinkId link, HostMessage message) {
+    out.add(new HostEffect.Tell(link, message));
+  }
+
+  private List<HostEffect> drain() {
+    List<HostEffect> effects = List.copyOf(out);
+    out.clear();
+    return effects;
+  }
+
+  private final class Owners implements KeyLookup {
+    @Override
+    public Optional<UpstreamId> holder(ServiceId service, int key) {
+      return Optional.ofNullable(keyed.get(service)).flatMap(owners -> owners.holder(key));
+    }
+
+    @Override
+    public long fence(ServiceId service, int key) {
+      return Optional.ofNullable(keyed.get(service)).map(owners -> owners.fence(key)).orElse(0L);
+    }
+
+    @Override
+    public long readyMillis(ServiceId service, int key, long now) {
+      return Optional.ofNullable(keyed.get(service))
+          .map(owners -> owners.readyMillis(now, key))
+          .orElse(now);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
@@ -0,0 +1,90 @@
+package dev.hornbeamwheel.core.host.node;
+
+import dev.hornbeamwheel.core.TimedEvent;
+import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
+import dev.hornbeamwheel.core.host.catalog.UpstreamEntry;
+import dev.hornbeamwheel.core.host.keys.OrderResult;
+import dev.hornbeamwheel.core.host.keys.TableRead;
+import dev.hornbeamwheel.core.host.keys.TableWrite;
+import dev.hornbeamwheel.core.host.lease.LeaseRead;
+import dev.hornbeamwheel.core.host.lease.LeaseWrite;
+import dev.hornbeamwheel.core.host.request.AttemptResult;
+import dev.hornbeamwheel.core.host.request.RequestHead;
+import dev.hornbeamwheel.core.host.request.RequestRef;
+import dev.hornbeamwheel.core.host.slots.LinkId;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Something that an entry host observed. */
+public sealed interface HostEvent extends TimedEvent {
+  /** Time has passed. */
+  record Tick(long atMillis) implements HostEvent {}
+
+  /** A configuration was read. */
+  record ConfigurationRead(long atMillis, FleetConfiguration configuration) implements HostEvent {}
+
+  /** All registrations of upstreams were read. */
+  record UpstreamsRead(long atMillis, List<UpstreamEntry> entries) implements HostEvent {}
+
+  /** The registration of an upstream has changed. */
+  record UpstreamChanged(long atMillis, UpstreamEntry entry) implements HostEvent {}
+
+  /** The registration of an upstream is gone. */
+  record UpstreamRemoved(long atMillis, UpstreamId upstream) implements HostEvent {}
+
+  /** The data centres that operators have taken out were read. */
+  record EvacuationsRead(long atMillis, Set<DataCentreId> dataCentres) implements HostEvent {}
+
+  /** The store answers again after it did not. */
+  record StoreReturned(long atMillis) implements HostEvent {}
+
+  /** The lease row was read, or could not be. */
+  record LeaseReadEnded(long atMillis, Optional<LeaseRead> read) implements HostEvent {}
+
+  /** A write of the lease row has ended. */
+  record LeaseWriteEnded(long atMillis, LeaseWrite result) implements HostEvent {}
+
+  /** A table of keys was read, or could not be. */
+  record TableReadEnded(long atMillis, long term, ServiceId service, TableRead result)
+      implements HostEvent {}
+
+  /** A write of a table of keys has ended. */
+  record TableWriteEnded(long atMillis, long term, ServiceId service, TableWrite result)
+      implements HostEvent {}
+
+  /** An order to an upstream has ended. */
+  record OrderEnded(long atMillis, long term, ServiceId service, long order, OrderResult result)
+      implements HostEvent {}
+
+  /** A host said something to this coordinator. */
+  record HostSaid(long atMillis, LinkId link, HostMessage message) implements HostEvent {}
+
+  /** The connection of a host to this coordinator ended. */
+  record HostGone(long atMillis, LinkId link) implements HostEvent {}
+
+  /** The connection to the coordinator stands. */
+  record CoordinatorConnected(long atMillis, long term) implements HostEvent {}
+
+  /** The coordinator said something. */
+  record CoordinatorSaid(long atMillis, long term, HostMessage message) implements HostEvent {}
+
+  /** The connection to the coordinator ended, or could not be made. */
+  record CoordinatorGone(long atMillis, long term) implements HostEvent {}
+
+  /** A caller's request has arrived. */
+  record RequestArrived(long atMillis, RequestRef request, RequestHead head) implements HostEvent {}
+
+  /** A caller closed its connection before its answer. */
+  record CallerLeft(long atMillis, RequestRef request) implements HostEvent {}
+
+  /** An attempt at an upstream has ended. */
+  record AttemptEnded(long atMillis, RequestRef request, AttemptResult result)
+      implements HostEvent {}
+
+  /** The process is to stop once its requests have ended. */
+  record Stopping(long atMillis) implements HostEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -0,0 +1,56 @@
+package dev.hornbeamwheel.core.host.node;
+
+import dev.hornbeamwheel.core.host.slots.Completion;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.HostId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+
+/** What an entry host and the coordinator say to each other. */
+public sealed interface HostMessage {
+  /** First message of a host. */
+  record Hello(HostId host, DataCentreId dataCentre) implements HostMessage {}
+
+  /** Asks for a slot; times are in milliseconds from now. */
+  record Ask(
+      long ask,
+      ServiceId service,
+      OptionalInt key,
+      int priority,
+      long deadlineMillis,
+      long targetMillis,
+      boolean large,
+      Set<UpstreamId> avoid)
+      implements HostMessage {}
+
+  /** An ask is void. */
+  record Cancel(long ask) implements HostMessage {}
+
+  /** A request on a slot has ended; {@code workPercent} is zero if unknown. */
+  record Done(long ask, UpstreamId upstream, Completion completion, long ranMillis, int workPercent)
+      implements HostMessage {}
+
+  /** A request runs on a slot that this coordinator has not handed out. */
+  record Hold(long ask, ServiceId service, OptionalInt key, UpstreamId upstream)
+      implements HostMessage {}
+
+  /**
+   * The coordinator is alive.
+   *
+   * @param leased whether it holds the lease
+   * @param hosts how many hosts are connected to it
+   */
+  record Heartbeat(long term, boolean leased, int hosts) implements HostMessage {}
+
+  /** An ask may go to an upstream. */
+  record Give(long ask, UpstreamId upstream, long fence) implements HostMessage {}
+
+  /** An ask cannot be met in time. */
+  record Refuse(long ask, long retryAfterMillis, String reason) implements HostMessage {}
+
+  /** All owners of a service's keys, each under the first key of its range. */
+  record KeyMap(ServiceId service, Map<Integer, UpstreamId> byFirstKey) implements HostMessage {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalChoice.java
@@ -0,0 +1,145 @@
+package dev.hornbeamwheel.core.host.request;
+
+import dev.hornbeamwheel.core.host.catalog.Catalog;
+import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.host.catalog.UpstreamEntry;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Chooses an upstream without the coordinator: the better of two, by this host's own requests
+ * there, near ones first; for a key, its last known owner.
+ */
+final class LocalChoice {
+  /** An upstream that refused a connection is left out for so long, in milliseconds. */
+  private static final long UNREACHABLE_MILLIS = 700;
+
+  /** What another data centre counts, in running requests. */
+  private static final double FAR_COST = 0.9;
+
+  private final Catalog catalog;
+  private final DataCentreId here;
+  private final Random random;
+  private final Map<UpstreamId, Integer> running = new HashMap<>();
+  private final Map<UpstreamId, Long> unreachableUntil = new HashMap<>();
+  private final Map<UpstreamId, Long> coldSentMillis = new HashMap<>();
+  private final Map<ServiceId, NavigableMap<Integer, UpstreamId>> owners = new HashMap<>();
+  private int hosts = 1;
+
+  LocalChoice(Catalog catalog, DataCentreId here, Random random) {
+    this.catalog = catalog;
+    this.here = here;
+    this.random = random;
+  }
+
+  /** Replaces the owners of a service's keys, each under the first key of its range. */
+  void owners(ServiceId service, Map<Integer, UpstreamId> byFirstKey) {
+    owners.put(service, new TreeMap<>(byFirstKey));
+  }
+
+  void hosts(int number) {
+    hosts = Math.max(1, number);
+  }
+
+  void began(UpstreamId upstream) {
+    running.merge(upstream, 1, Integer::sum);
+  }
+
+  void ended(UpstreamId upstream) {
+    running.computeIfPresent(upstream, (id, count) -> count <= 1 ? null : count - 1);
+  }
+
+  void noteUnreachable(long nowMillis, UpstreamId upstream) {
+    unreachableUntil.put(upstream, nowMillis + UNREACHABLE_MILLIS);
+  }
+
+  void noteReachable(UpstreamId upstream) {
+    unreachableUntil.remove(upstream);
+  }
+
+  boolean reachable(long nowMillis, UpstreamId upstream) {
+    Long until = unreachableUntil.get(upstream);
+    return until == null || nowMillis >= until;
+  }
+
+  /** Returns the upstreams that this host cannot reach now. */
+  Set<UpstreamId> unreachable(long nowMillis) {
+    unreachableUntil.values().removeIf(until -> nowMillis >= until);
+    return Set.copyOf(unreachableUntil.keySet());
+  }
+
+  Optional<UpstreamEntry> choose(
+      long nowMillis, ServiceId service, OptionalInt key, Set<UpstreamId> avoid) {
+    if (key.isPresent()) {
+      return owner(service, key.getAsInt())
+          .filter(entry -> reachable(nowMillis, entry.id()) && room(nowMillis, entry));
+    }
+    List<UpstreamEntry> free =
+        catalog.usable(service).stream()
+            .filter(entry -> !avoid.contains(entry.id()) && reachable(nowMillis, entry.id()))
+            .filter(entry -> room(nowMillis, entry))
+            .toList();
+    if (free.isEmpty()) {
+      return Optional.empty();
+    }
+    List<UpstreamEntry> near =
+        free.stream().filter(entry -> entry.dataCentre().equals(here)).toList();
+    UpstreamEntry first = any(near.isEmpty() ? free : near);
+    UpstreamEntry second = any(free);
+    return List.of(first, second).stream()
+        .min(Comparator.comparingDouble(this::cost))
+        .map(entry -> noteCold(nowMillis, entry));
+  }
+
+  private Optional<UpstreamEntry> owner(ServiceId service, int key) {
+    NavigableMap<Integer, UpstreamId> known = owners.getOrDefault(service, new TreeMap<>());
+    Map.Entry<Integer, UpstreamId> range = known.floorEntry(key);
+    return range == null
+        ? Optional.empty()
+        : catalog.upstream(range.getValue()).filter(catalog::usable);
+  }
+
+  private boolean room(long nowMillis, UpstreamEntry entry) {
+    if (running.getOrDefault(entry.id(), 0) >= entry.slots()) {
+      return false;
+    }
+    if (!entry.cold(nowMillis)) {
+      return true;
+    }
+    double perSecond =
+        catalog
+            .configuration()
+            .flatMap(configuration -> configuration.service(entry.service()))
+            .map(ServiceSpec::coldPerSecond)
+            .orElse(0.0);
+    long last = coldSentMillis.getOrDefault(entry.id(), Long.MIN_VALUE / 2);
+    return perSecond <= 0 || nowMillis - last > hosts * 1_000 / perSecond;
+  }
+
+  private UpstreamEntry noteCold(long nowMillis, UpstreamEntry entry) {
+    if (entry.cold(nowMillis)) {
+      coldSentMillis.put(entry.id(), nowMillis);
+    }
+    return entry;
+  }
+
+  private double cost(UpstreamEntry entry) {
+    double distance = entry.dataCentre().equals(here) ? 0 : FAR_COST;
+    return running.getOrDefault(entry.id(), 0) + distance;
+  }
+
+  private UpstreamEntry any(List<UpstreamEntry> entries) {
+    return entries.get(random.nextInt(entries.size()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/ServiceQueue.java
@@ -0,0 +1,88 @@
+package dev.hornbeamwheel.core.host.slots;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** The asks of one service that wait for a slot, and how fast such asks come and go. */
+final class ServiceQueue {
+  /** Run time that is assumed before any request was served, in milliseconds. */
+  private static final double FIRST_RUN_MILLIS = 150;
+
+  /** Weight of the newest run time in the mean of the service. */
+  private static final double RUN_WEIGHT = 0.05;
+
+  /** Time constant of the arrival rate, in milliseconds. */
+  private static final double ARRIVAL_SPAN_MILLIS = 2_000;
+
+  private final List<Ask> waiting = new ArrayList<>();
+  private double runMillis = FIRST_RUN_MILLIS;
+  private double arrivals;
+  private long arrivalsMillis;
+  private long lastReturnMillis;
+
+  List<Ask> waiting() {
+    return waiting;
+  }
+
+  double runMillis() {
+    return runMillis;
+  }
+
+  void served(long ranMillis) {
+    runMillis += RUN_WEIGHT * (ranMillis - runMillis);
+  }
+
+  void arrived(long nowMillis) {
+    decayArrivals(nowMillis);
+    arrivals += 1;
+  }
+
+  /** Returns the asks a second of late. */
+  double arrivalsPerSecond(long nowMillis) {
+    decayArrivals(nowMillis);
+    return arrivals * 1_000 / ARRIVAL_SPAN_MILLIS;
+  }
+
+  private void decayArrivals(long nowMillis) {
+    arrivals *= Math.exp(-(nowMillis - arrivalsMillis) / ARRIVAL_SPAN_MILLIS);
+    arrivalsMillis = nowMillis;
+  }
+
+  /** Returns whether an ask can still be answered within its latency target. */
+  boolean onTime(Ask ask, long nowMillis) {
+    return nowMillis + runMillis * 0.8 <= ask.targetMillis();
+  }
+
+  /** Returns the waiting asks in the order in which they are to be served. */
+  List<Ask> inOrder(long nowMillis) {
+    if (waiting.size() < 2) {
+      return List.copyOf(waiting);
+    }
+    return waiting.stream()
+        .sorted(
+            Comparator.comparing((Ask ask) -> !onTime(ask, nowMillis))
+                .thenComparingInt(Ask::priority)
+                .thenComparingLong(Ask::arrivedMillis))
+        .toList();
+  }
+
+  Optional<Ask> remove(Ticket ticket) {
+    Optional<Ask> found = waiting.stream().filter(ask -> ask.ticket().equals(ticket)).findFirst();
+    found.ifPresent(waiting::remove);
+    return found;
+  }
+
+  /**
+   * Returns the time at which a refused caller finds room, apart from the other refused ones.
+   *
+   * @param roomMillis when there is room at the earliest
+   * @param gapMillis time in which one request is served
+   */
+  long nextReturn(long nowMillis, long roomMillis, double gapMillis) {
+    long after = Math.max(roomMillis, lastReturnMillis + Math.round(gapMillis));
+    lastReturnMillis = Math.max(nowMillis, after);
+    return lastReturnMillis;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -0,0 +1,290 @@
+package dev.hornbeamwheel.core.host.slots;
+
+import dev.hornbeamwheel.core.host.catalog.Catalog;
+import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.host.catalog.UpstreamEntry;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Hands out the slots of all upstreams, late and in one place.
+ *
+ * <p>A request waits here and not at an upstream, so that it goes to whichever upstream becomes
+ * free first; a keyed request waits for the owner of its key. Requests that can still be on time go
+ * before those that cannot. What cannot be served before its deadline is refused at once, with a
+ * time at which there will be room.
+ */
+public final class SlotBroker {
+  /** What a transfer between data centres is worth in waiting, in milliseconds. */
+  private static final double FAR_PENALTY_MILLIS = 8;
+
+  /** The same for large answers. */
+  private static final double FAR_LARGE_PENALTY_MILLIS = 120;
+
+  /** Shortest time to wait that a refused caller is told, in milliseconds. */
+  private static final long LEAST_RETRY_MILLIS = 40;
+
+  /** Part of its remaining time that a refused caller waits at most. */
+  private static final int RETRY_PART = 3;
+
+  /** Part of the mean run time that must be left before the deadline. */
+  private static final double LEAST_RUN_PART = 0.7;
+
+  private final Catalog catalog;
+  private final KeyLookup keys;
+  private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
+  private final Map<ServiceId, ServiceQueue> queues = new HashMap<>();
+  private final List<SlotEffect> out = new ArrayList<>();
+
+  private SlotBroker(Catalog catalog, KeyLookup keys) {
+    this.catalog = catalog;
+    this.keys = keys;
+  }
+
+  /** Returns a broker without any asks. */
+  public static SlotBroker create(Catalog catalog, KeyLookup keys) {
+    return new SlotBroker(catalog, keys);
+  }
+
+  /** Takes an ask; it is answered now or later. */
+  public List<SlotEffect> ask(long nowMillis, Ask ask) {
+    ServiceQueue queue = queue(ask.service());
+    queue.arrived(nowMillis);
+    queue.waiting().add(ask);
+    serve(nowMillis, ask.service());
+    refuseHopeless(nowMillis, ask.service(), List.of(ask));
+    return drain();
+  }
+
+  /** Forgets an ask, and frees the slot that it may have got. */
+  public List<SlotEffect> cancel(long nowMillis, Ticket ticket) {
+    queues.values().forEach(queue -> queue.remove(ticket));
+    loads.values().forEach(load -> load.end(nowMillis, ticket, Completion.CANCELLED, 0, 0));
+    return serveAll(nowMillis);
+  }
+
+  /**
+   * Notes that a request on a slot has ended.
+   *
+   * @param ranMillis how long it took, in milliseconds
+   * @param workPercent how long work takes at the upstream, in percent of the usual; zero if
+   *     unknown
+   */
+  public List<SlotEffect> done(
+      long nowMillis,
+      Ticket ticket,
+      UpstreamId upstream,
+      Completion completion,
+      long ranMillis,
+      int workPercent) {
+    Optional<UpstreamEntry> entry = catalog.upstream(upstream);
+    UpstreamLoad load = loads.get(upstream);
+    if (load == null) {
+      return drain();
+    }
+    load.end(nowMillis, ticket, completion, ranMillis, workPercent);
+    entry.ifPresent(
+        known -> {
+          if (completion == Completion.SERVED) {
+            queue(known.service()).served(ranMillis);
+          }
+          serve(nowMillis, known.service());
+        });
+    return drain();
+  }
+
+  /** Notes a request that runs on a slot which an earlier coordinator handed out. */
+  public void hold(long nowMillis, Ticket ticket, UpstreamId upstream) {
+    catalog
+        .upstream(upstream)
+        .ifPresent(entry -> load(entry).begin(nowMillis, ticket, entry.cold(nowMillis)));
+  }
+
+  /** Forgets all asks of a host whose connection ended. */
+  public List<SlotEffect> dropLink(long nowMillis, LinkId link) {
+    loads.values().forEach(load -> load.dropLink(link));
+    queues.values().forEach(queue -> queue.waiting().removeIf(ask -> ask.link().equals(link)));
+    return serveAll(nowMillis);
+  }
+
+  /** Hands out slots that became free by time, and refuses what can no longer be served. */
+  public List<SlotEffect> tick(long nowMillis) {
+    loads.keySet().removeIf(id -> catalog.upstream(id).isEmpty());
+    List.copyOf(queues.keySet())
+        .forEach(
+            service -> {
+              serve(nowMillis, service);
+              refuseHopeless(nowMillis, service, queue(service).inOrder(nowMillis));
+            });
+    return drain();
+  }
+
+  /** Returns the requests a second that an upstream can serve. */
+  public double requestsPerSecond(long nowMillis, UpstreamEntry entry) {
+    UpstreamLoad load = load(entry);
+    double sound = Math.max(0.1, 1 - load.failureRate());
+    double full = entry.slots() * 1_000 / Math.max(1, load.runMillis()) * sound;
+    double cold = coldPerSecond(entry.service());
+    return entry.cold(nowMillis) && cold > 0 ? Math.min(full, cold) : full;
+  }
+
+  /** Returns how many asks of a service wait. */
+  public int waiting(ServiceId service) {
+    return queue(service).waiting().size();
+  }
+
+  private List<SlotEffect> serveAll(long nowMillis) {
+    List.copyOf(queues.keySet()).forEach(service -> serve(nowMillis, service));
+    return drain();
+  }
+
+  private void serve(long nowMillis, ServiceId service) {
+    ServiceQueue queue = queue(service);
+    if (queue.waiting().isEmpty()) {
+      return;
+    }
+    List<UpstreamEntry> usable = catalog.usable(service);
+    for (Ask ask : queue.inOrder(nowMillis)) {
+      Optional<UpstreamEntry> chosen =
+          ask.key().isPresent()
+              ? owner(nowMillis, ask)
+              : usable.stream()
+                  .filter(entry -> !ask.avoid().contains(entry.id()))
+                  .filter(entry -> free(nowMillis, entry))
+                  .min(Comparator.comparingDouble(entry -> cost(nowMillis, ask, entry)));
+      chosen.ifPresent(entry -> give(nowMillis, queue, ask, entry));
+    }
+  }
+
+  private Optional<UpstreamEntry> owner(long nowMillis, Ask ask) {
+    return keys.holder(ask.service(), ask.key().orElseThrow())
+        .flatMap(catalog::upstream)
+        .filter(entry -> free(nowMillis, entry));
+  }
+
+  private boolean free(long nowMillis, UpstreamEntry entry) {
+    return load(entry)
+        .free(nowMillis, entry.slots(), entry.cold(nowMillis), coldPerSecond(entry.service()));
+  }
+
+  private double cost(long nowMillis, Ask ask, UpstreamEntry entry) {
+    double far = ask.large() ? FAR_LARGE_PENALTY_MILLIS : FAR_PENALTY_MILLIS;
+    double distance = entry.dataCentre().equals(ask.from()) ? 0 : far;
+    UpstreamLoad load = load(entry);
+    return load.expectedMillis(nowMillis) * (1 + 4 * load.failureRate()) + distance;
+  }
+
+  private void give(long nowMillis, ServiceQueue queue, Ask ask, UpstreamEntry entry) {
+    queue.waiting().remove(ask);
+    load(entry).begin(nowMillis, ask.ticket(), entry.cold(nowMillis));
+    long fence = ask.key().isPresent() ? keys.fence(ask.service(), ask.key().getAsInt()) : 0;
+    out.add(new SlotEffect.Give(ask.ticket(), entry.id(), fence));
+  }
+
+  private void refuseHopeless(long nowMillis, ServiceId service, List<Ask> asks) {
+    ServiceQueue queue = queue(service);
+    asks.stream()
+        .filter(queue.waiting()::contains)
+        .forEach(
+            ask -> {
+              long start = expectedStart(nowMillis, queue, ask);
+              if (start + queue.runMillis() * LEAST_RUN_PART > ask.deadlineMillis()) {
+                refuse(nowMillis, queue, ask, start);
+              }
+            });
+  }
+
+  private void refuse(long nowMillis, ServiceQueue queue, Ask ask, long startMillis) {
+    queue.waiting().remove(ask);
+    double gap = 1_000 / Math.max(0.5, throughput(nowMillis, ask));
+    long most = Math.max(0, ask.deadlineMillis() - nowMillis) / RETRY_PART;
+    long room = nowMillis + Math.min(startMillis - nowMillis, most) / 2;
+    long back = queue.nextReturn(nowMillis, room, gap) - nowMillis;
+    long retryAfter = Math.max(LEAST_RETRY_MILLIS, Math.min(back, most));
+    String reason = ask.key().isPresent() ? "the key's owner has no room" : "no room in time";
+    out.add(new SlotEffect.Refuse(ask.ticket(), retryAfter, reason));
+  }
+
+  /** Returns when an ask that waits will probably get a slot. */
+  private long expectedStart(long nowMillis, ServiceQueue queue, Ask ask) {
+    double throughput = throughput(nowMillis, ask);
+    boolean onTime = queue.onTime(ask, nowMillis);
+    if (!onTime && ask.key().isEmpty()) {
+      // Requests that come later and can be on time go first.
+      throughput -= 0.8 * queue.arrivalsPerSecond(nowMillis);
+    }
+    if (throughput <= 0.1) {
+      return Long.MAX_VALUE / 4;
+    }
+    long ahead =
+        queue.inOrder(nowMillis).stream()
+            .takeWhile(other -> !other.ticket().equals(ask.ticket()))
+            .filter(other -> competes(other, ask))
+            .count();
+    long start = nowMillis + Math.round((ahead + 0.5) * 1_000 / throughput);
+    if (ask.key().isPresent()) {
+      start = Math.max(start, ownerReady(nowMillis, ask));
+    }
+    return start;
+  }
+
+  private long ownerReady(long nowMillis, Ask ask) {
+    int key = ask.key().orElseThrow();
+    long held = keys.readyMillis(ask.service(), key, nowMillis);
+    return keys.holder(ask.service(), key)
+        .map(loads::get)
+        .map(load -> Math.max(held, load.pausedUntil()))
+        .orElse(held);
+  }
+
+  private boolean competes(Ask other, Ask ask) {
+    if (ask.key().isEmpty() || other.key().isEmpty()) {
+      return true;
+    }
+    return keys.holder(ask.service(), ask.key().getAsInt())
+        .equals(keys.holder(other.service(), other.key().getAsInt()));
+  }
+
+  /** Returns the requests a second that can be served of those that compete with an ask. */
+  private double throughput(long nowMillis, Ask ask) {
+    if (ask.key().isPresent()) {
+      return keys.holder(ask.service(), ask.key().getAsInt())
+          .flatMap(catalog::upstream)
+          .map(entry -> requestsPerSecond(nowMillis, entry))
+          .orElseGet(() -> 2_000 / queue(ask.service()).runMillis());
+    }
+    return catalog.usable(ask.service()).stream()
+        .filter(entry -> nowMillis >= load(entry).pausedUntil())
+        .mapToDouble(entry -> requestsPerSecond(nowMillis, entry))
+        .sum();
+  }
+
+  private double coldPerSecond(ServiceId service) {
+    return catalog
+        .configuration()
+        .flatMap(configuration -> configuration.service(service))
+        .map(ServiceSpec::coldPerSecond)
+        .orElse(0.0);
+  }
+
+  private UpstreamLoad load(UpstreamEntry entry) {
+    return loads.computeIfAbsent(
+        entry.id(), id -> new UpstreamLoad(queue(entry.service()).runMillis()));
+  }
+
+  private ServiceQueue queue(ServiceId service) {
+    return queues.computeIfAbsent(service, id -> new ServiceQueue());
+  }
+
+  private List<SlotEffect> drain() {
+    List<SlotEffect> effects = List.copyOf(out);
+    out.clear();
+    return effects;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoad.java
@@ -0,0 +1,138 @@
+package dev.hornbeamwheel.core.host.slots;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** What the coordinator knows of the work at one upstream. */
+final class UpstreamLoad {
+  /** Weight of the newest run time in the mean. */
+  private static final double RUN_WEIGHT = 0.12;
+
+  /** Weight of the newest outcome in the failure rate. */
+  private static final double FAILURE_WEIGHT = 0.25;
+
+  /** An upstream whose failure rate is above this gets only single requests. */
+  private static final double UNSOUND_RATE = 0.5;
+
+  /** Shortest and longest pause of an upstream that fails, in milliseconds. */
+  private static final long PAUSE_MILLIS = 300;
+
+  private static final long MAX_PAUSE_MILLIS = 3_000;
+
+  /** A figure of how long work takes is trusted for so long, in milliseconds. */
+  private static final long WORK_FIGURE_MILLIS = 400;
+
+  /** Most requests that a cold upstream may get at one moment. */
+  private static final double COLD_BURST = 1;
+
+  private final Map<Ticket, Long> running = new HashMap<>();
+  private double runMillis;
+  private double failureRate;
+  private long pauseMillis = PAUSE_MILLIS;
+  private long pausedUntil;
+  private int workPercent = 100;
+  private long workPercentMillis;
+  private double coldTokens = COLD_BURST;
+  private long coldRefilledMillis;
+
+  UpstreamLoad(double runMillis) {
+    this.runMillis = runMillis;
+  }
+
+  int running() {
+    return running.size();
+  }
+
+  double runMillis() {
+    return runMillis;
+  }
+
+  /** Returns how long a request would take if it began now, in milliseconds. */
+  double expectedMillis(long nowMillis) {
+    boolean fresh = nowMillis - workPercentMillis < WORK_FIGURE_MILLIS;
+    return fresh ? runMillis * Math.max(1, workPercent / 100.0) : runMillis;
+  }
+
+  double failureRate() {
+    return failureRate;
+  }
+
+  long pausedUntil() {
+    return pausedUntil;
+  }
+
+  /** Returns whether a request may begin now. */
+  boolean free(long nowMillis, int slots, boolean cold, double coldPerSecond) {
+    if (nowMillis < pausedUntil || running.size() >= slots) {
+      return false;
+    }
+    if (failureRate > UNSOUND_RATE && !running.isEmpty()) {
+      return false;
+    }
+    return !cold || coldPerSecond <= 0 || coldTokens(nowMillis, coldPerSecond) >= 1;
+  }
+
+  private double coldTokens(long nowMillis, double perSecond) {
+    double refill = (nowMillis - coldRefilledMillis) * perSecond / 1_000;
+    coldTokens = Math.min(COLD_BURST, coldTokens + refill);
+    coldRefilledMillis = nowMillis;
+    return coldTokens;
+  }
+
+  void begin(long nowMillis, Ticket ticket, boolean cold) {
+    running.put(ticket, nowMillis);
+    if (cold) {
+      coldTokens -= 1;
+    }
+  }
+
+  boolean holds(Ticket ticket) {
+    return running.containsKey(ticket);
+  }
+
+  void end(long nowMillis, Ticket ticket, Completion completion, long ranMillis, int percent) {
+    if (running.remove(ticket) == null) {
+      return;
+    }
+    if (percent > 0) {
+      workPercent = percent;
+      workPercentMillis = nowMillis;
+    }
+    switch (completion) {
+      case SERVED -> {
+        runMillis += RUN_WEIGHT * (ranMillis - runMillis);
+        sound();
+      }
+      case TIMED_OUT -> {
+        runMillis += RUN_WEIGHT * Math.max(0, ranMillis - runMillis);
+        failureRate += FAILURE_WEIGHT * (1 - failureRate);
+      }
+      case FAILED, BROKEN -> failureRate += FAILURE_WEIGHT * (1 - failureRate);
+      case NOT_RUN -> {
+        failureRate += FAILURE_WEIGHT * (1 - failureRate);
+        pausedUntil = Math.max(pausedUntil, nowMillis + PAUSE_MILLIS / 6);
+      }
+      case UNREACHABLE -> {
+        failureRate += FAILURE_WEIGHT * (1 - failureRate);
+        pause(nowMillis);
+      }
+      default -> {
+        // A misdirected or cancelled request says nothing of the upstream's health.
+      }
+    }
+  }
+
+  void dropLink(LinkId link) {
+    running.keySet().removeIf(ticket -> ticket.link().equals(link));
+  }
+
+  private void sound() {
+    failureRate -= FAILURE_WEIGHT * failureRate;
+    pauseMillis = PAUSE_MILLIS;
+  }
+
+  private void pause(long nowMillis) {
+    pausedUntil = nowMillis + pauseMillis;
+    pauseMillis = Math.min(MAX_PAUSE_MILLIS, pauseMillis * 2);
+  }
+}
--- a/core/src/main/java/dev/hornbeamwheel/core/time/Clock.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/time/Clock.java
@@ -21,4 +21,12 @@
   static Clock monotonic() {
     return () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
+
+  /**
+   * Returns a clock that never goes back and also counts the time for which the process was
+   * suspended; for use by one thread.
+   */
+  static Clock countingSuspension() {
+    return SuspensionClock.of(monotonic(), System::currentTimeMillis);
+  }
 }
--- /dev/null
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
@@ -0,0 +1,139 @@
+package dev.hornbeamwheel.host;
+
+import dev.hornbeamwheel.wire.Channels;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * One connection of a caller. Requests that arrive before the first is answered run at the same
+ * time; answers go out in the order of the requests.
+ */
+final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+  /** Requests of one connection that may wait for their answers. */
+  private static final int MAX_PIPELINED = 32;
+
+  private final CallerServer server;
+  private final Deque<Exchange> pending = new ArrayDeque<>();
+  private Channel channel;
+  private boolean closing;
+
+  CallerConnection(CallerServer server) {
+    super(false);
+    this.server = server;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    channel = context.channel();
+    server.opened(this);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    server.closed(this);
+    List<Exchange> left = List.copyOf(pending);
+    pending.clear();
+    left.forEach(server::callerLeft);
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    if (closing) {
+      request.release();
+    } else if (request.decoderResult().isFailure()) {
+      boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
+      request.release();
+      refuse(
+          tooLong
+              ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+              : HttpResponseStatus.BAD_REQUEST);
+    } else {
+      Exchange exchange = server.exchange(this, request, HttpUtil.isKeepAlive(request));
+      pending.add(exchange);
+      if (pending.size() >= MAX_PIPELINED) {
+        channel.config().setAutoRead(false);
+      }
+      server.arrived(exchange);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    Channels.close(context.channel());
+  }
+
+  /** Returns whether no request waits for its answer. */
+  boolean idle() {
+    return pending.isEmpty();
+  }
+
+  /** Sends the answer of an exchange once all earlier ones are sent. */
+  void answer(Exchange exchange, FullHttpResponse response) {
+    exchange.answer(response);
+    while (!pending.isEmpty() && pending.peekFirst().answer() != null) {
+      send(pending.removeFirst());
+    }
+    channel.flush();
+    if (!closing && pending.size() < MAX_PIPELINED) {
+      channel.config().setAutoRead(true);
+    }
+  }
+
+  /** Ends the connection: at once if it is idle, else with its last answer. */
+  void closeWhenIdle() {
+    if (pending.isEmpty()) {
+      closing = true;
+      Channels.close(channel);
+    }
+  }
+
+  /** Answers what cannot be read as a request, and closes. */
+  void refuse(HttpResponseStatus status) {
+    closing = true;
+    if (!pending.isEmpty()) {
+      // Earlier requests get their answers first; the connection ends with the last of them.
+      return;
+    }
+    FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+    response
+        .headers()
+        .set(HttpHeaderNames.CONTENT_LENGTH, 0)
+        .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    var unused = channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void send(Exchange exchange) {
+    FullHttpResponse response = exchange.answer();
+    boolean last = !exchange.keepAlive() || (pending.isEmpty() && (closing || server.stopping()));
+    if (exchange.request().method().equals(HttpMethod.HEAD)) {
+      response.content().clear();
+    }
+    exchange.request().release();
+    if (last) {
+      closing = true;
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      var unused = channel.write(response).addListener(ChannelFutureListener.CLOSE);
+      // Requests behind an answer that ends the connection count as unread.
+      List<Exchange> unread = List.copyOf(pending);
+      pending.clear();
+      unread.forEach(server::callerLeft);
+    } else {
+      var unused = channel.write(response, channel.voidPromise());
+    }
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/hornbeamwheel/host/Exchange.java
@@ -0,0 +1,89 @@
+package dev.hornbeamwheel.host;
+
+import dev.hornbeamwheel.core.host.request.RequestRef;
+import dev.hornbeamwheel.wire.http.CallHandle;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+
+/** A caller's request, the attempt that runs for it, and its answer; mutable. */
+final class Exchange {
+  private final RequestRef ref;
+  private final CallerConnection connection;
+  private final FullHttpRequest request;
+  private final String attemptId;
+  private final boolean keepAlive;
+  private CallHandle attempt;
+  private FullHttpResponse upstreamAnswer;
+  private FullHttpResponse answer;
+
+  Exchange(
+      RequestRef ref,
+      CallerConnection connection,
+      FullHttpRequest request,
+      String attemptId,
+      boolean keepAlive) {
+    this.ref = ref;
+    this.connection = connection;
+    this.request = request;
+    this.attemptId = attemptId;
+    this.keepAlive = keepAlive;
+  }
+
+  RequestRef ref() {
+    return ref;
+  }
+
+  CallerConnection connection() {
+    return connection;
+  }
+
+  FullHttpRequest request() {
+    return request;
+  }
+
+  String attemptId() {
+    return attemptId;
+  }
+
+  boolean keepAlive() {
+    return keepAlive;
+  }
+
+  void attempt(CallHandle started) {
+    attempt = started;
+  }
+
+  void abortAttempt() {
+    if (attempt != null) {
+      attempt.abort();
+      attempt = null;
+    }
+  }
+
+  void attemptEnded(FullHttpResponse response) {
+    attempt = null;
+    dropUpstreamAnswer();
+    upstreamAnswer = response;
+  }
+
+  FullHttpResponse takeUpstreamAnswer() {
+    FullHttpResponse taken = upstreamAnswer;
+    upstreamAnswer = null;
+    return taken;
+  }
+
+  void dropUpstreamAnswer() {
+    if (upstreamAnswer != null) {
+      upstreamAnswer.release();
+      upstreamAnswer = null;
+    }
+  }
+
+  void answer(FullHttpResponse ready) {
+    answer = ready;
+  }
+
+  FullHttpResponse answer() {
+    return answer;
+  }
+}
--- /dev/null
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostMetrics.java
@@ -0,0 +1,87 @@
+package dev.hornbeamwheel.host;
+
+import dev.hornbeamwheel.core.host.node.HostEffect;
+import dev.hornbeamwheel.core.host.request.RequestEffect;
+import dev.hornbeamwheel.core.host.request.RequestRef;
+import dev.hornbeamwheel.runtime.metrics.Metrics;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Counters and latencies of an entry host; docs/OPERATIONS.md tells what each means. */
+final class HostMetrics {
+  private static final double[] SECONDS = {0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2};
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final Metrics metrics;
+  private final Counter requests;
+  private final Counter attempts;
+  private final Counter storeCalls;
+  private final Counter orders;
+  private final Histogram latency;
+  private final Map<RequestRef, Long> arrived = new HashMap<>();
+
+  private HostMetrics(Metrics metrics) {
+    this.metrics = metrics;
+    this.requests =
+        metrics.counter(
+            "hornbeamwheel_requests_total", "Callers' requests by their final answer.", "answer");
+    this.attempts = metrics.counter("hornbeamwheel_attempts_total", "Requests sent to upstreams.");
+    this.storeCalls =
+        metrics.counter(
+            "hornbeamwheel_store_calls_total",
+            "Reads and writes of the lease and of tables of keys.",
+            "call");
+    this.orders =
+        metrics.counter("hornbeamwheel_key_orders_total", "Grants and releases of keys.", "order");
+    this.latency =
+        metrics.histogram(
+            "hornbeamwheel_request_duration_seconds",
+            "Time from a request's arrival to its final answer.",
+            SECONDS);
+  }
+
+  static HostMetrics create() {
+    return new HostMetrics(Metrics.empty());
+  }
+
+  Metrics metrics() {
+    return metrics;
+  }
+
+  void arrived(long nowMillis, RequestRef request) {
+    arrived.put(request, nowMillis);
+  }
+
+  /** Counts what is carried out. */
+  void count(long nowMillis, HostEffect effect) {
+    if (effect instanceof HostEffect.Request request) {
+      count(nowMillis, request.effect());
+    } else if (effect instanceof HostEffect.Lease lease) {
+      storeCalls.labelValues(lease.effect().getClass().getSimpleName()).inc();
+    } else if (effect instanceof HostEffect.Keys keys) {
+      orders.labelValues(keys.effect().getClass().getSimpleName()).inc();
+    }
+  }
+
+  private void count(long nowMillis, RequestEffect effect) {
+    if (effect instanceof RequestEffect.Send) {
+      attempts.inc();
+    } else if (effect instanceof RequestEffect.PassOn passOn) {
+      ended(nowMillis, passOn.request(), "UPSTREAM");
+    } else if (effect instanceof RequestEffect.Answer answer) {
+      ended(nowMillis, answer.request(), answer.answer().name());
+    } else if (effect instanceof RequestEffect.Forget forget) {
+      ended(nowMillis, forget.request(), "CALLER_LEFT");
+    }
+  }
+
+  private void ended(long nowMillis, RequestRef request, String answer) {
+    requests.labelValues(answer).inc();
+    Long since = arrived.remove(request);
+    if (since != null) {
+      latency.observe((nowMillis - since) / MILLIS_PER_SECOND);
+    }
+  }
+}
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/cli/GracefulShutdown.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/cli/GracefulShutdown.java
@@ -2,17 +2,17 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.slf4j.ILoggerFactory;
-import org.slf4j.LoggerFactory;
 
 /** Stops a program gracefully when the process is told to end. */
 final class GracefulShutdown {
   private final RunningProgram program;
+  private final Runnable logFlush;
   private final AtomicBoolean begun = new AtomicBoolean();
   private final CountDownLatch done = new CountDownLatch(1);
 
-  GracefulShutdown(RunningProgram program) {
+  GracefulShutdown(RunningProgram program, Runnable logFlush) {
     this.program = program;
+    this.logFlush = logFlush;
   }
 
   /** Registers for SIGTERM and SIGINT; the process then exits with the status of success. */
@@ -43,16 +43,9 @@
       stop();
       code = ExitCode.OK;
     } finally {
-      flushLogs();
+      logFlush.run();
       // The JVM would otherwise report the signal as its exit status.
       Runtime.getRuntime().halt(code.status());
     }
   }
-
-  private static void flushLogs() {
-    ILoggerFactory factory = LoggerFactory.getILoggerFactory();
-    if (factory instanceof ch.qos.logback.classic.LoggerContext context) {
-      context.stop();
-    }
-  }
 }
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/cli/Program.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/cli/Program.java
@@ -1,5 +1,6 @@
 package dev.hornbeamwheel.runtime.cli;
 
+import dev.hornbeamwheel.runtime.logging.LogFlush;
 import dev.hornbeamwheel.runtime.settings.SettingsObject;
 
 /**
@@ -23,4 +24,9 @@
    * @return the running program, or why it could not start
    */
   StartResult start(S settings);
+
+  /** Writes out what the log still holds, before the process ends. */
+  default void flushLogs() {
+    LogFlush.run();
+  }
 }
--- a/runtime/src/main/java/dev/hornbeamwheel/runtime/cli/ProgramRunner.java
+++ b/runtime/src/main/java/dev/hornbeamwheel/runtime/cli/ProgramRunner.java
@@ -85,7 +85,8 @@
       err.println(failed.error().message());
       return ExitCode.START_FAILED;
     }
-    GracefulShutdown shutdown = new GracefulShutdown(((StartResult.Started) start).program());
+    GracefulShutdown shutdown =
+        new GracefulShutdown(((StartResult.Started) start).program(), program::flushLogs);
     shutdown.register();
     shutdown.await();
     return ExitCode.OK;
--- a/runtime/src/test/java/dev/hornbeamwheel/runtime/cli/GracefulShutdownTest.java
+++ b/runtime/src/test/java/dev/hornbeamwheel/runtime/cli/GracefulShutdownTest.java
@@ -9,7 +9,7 @@
   @Test
   void stopsTheProgramOnce() throws InterruptedException {
     AtomicInteger stops = new AtomicInteger();
-    GracefulShutdown shutdown = new GracefulShutdown(stops::incrementAndGet);
+    GracefulShutdown shutdown = new GracefulShutdown(stops::incrementAndGet, () -> {});
 
     shutdown.stop();
     shutdown.stop();
--- /dev/null
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
@@ -0,0 +1,194 @@
+package dev.hornbeamwheel.wire;
+
+import dev.hornbeamwheel.core.host.node.HostMessage;
+import dev.hornbeamwheel.core.host.slots.Completion;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.HostId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.proto.host.AskBody;
+import dev.hornbeamwheel.proto.host.CancelBody;
+import dev.hornbeamwheel.proto.host.DoneBody;
+import dev.hornbeamwheel.proto.host.GiveBody;
+import dev.hornbeamwheel.proto.host.HeartbeatBody;
+import dev.hornbeamwheel.proto.host.HelloBody;
+import dev.hornbeamwheel.proto.host.HoldBody;
+import dev.hornbeamwheel.proto.host.HostFrame;
+import dev.hornbeamwheel.proto.host.KeyMapBody;
+import dev.hornbeamwheel.proto.host.OwnedRange;
+import dev.hornbeamwheel.proto.host.RefuseBody;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.stream.Collectors;
+
+/** Turns the messages between hosts into frames and back. */
+final class HostMessageMapping {
+  private HostMessageMapping() {}
+
+  static HostFrame toProto(HostMessage message) {
+    HostFrame.Builder frame = HostFrame.newBuilder();
+    if (message instanceof HostMessage.Ask ask) {
+      frame.setAsk(ask(ask));
+    } else if (message instanceof HostMessage.Give give) {
+      frame.setGive(
+          GiveBody.newBuilder()
+              .setAsk(give.ask())
+              .setUpstream(give.upstream().value())
+              .setFence(give.fence()));
+    } else if (message instanceof HostMessage.Done done) {
+      frame.setDone(
+          DoneBody.newBuilder()
+              .setAsk(done.ask())
+              .setUpstream(done.upstream().value())
+              .setOutcome(done.completion().code())
+              .setRunMillis(toInt(done.ranMillis()))
+              .setWorkPercent(done.workPercent()));
+    } else if (message instanceof HostMessage.Refuse refuse) {
+      frame.setRefuse(
+          RefuseBody.newBuilder()
+              .setAsk(refuse.ask())
+              .setRetryAfterMillis(toInt(refuse.retryAfterMillis()))
+              .setReason(refuse.reason()));
+    } else if (message instanceof HostMessage.Heartbeat beat) {
+      frame.setHeartbeat(
+          HeartbeatBody.newBuilder()
+              .setTerm(beat.term())
+              .setLeased(beat.leased())
+              .setHosts(beat.hosts()));
+    } else if (message instanceof HostMessage.Cancel cancel) {
+      frame.setCancel(CancelBody.newBuilder().setAsk(cancel.ask()));
+    } else {
+      setRare(frame, message);
+    }
+    return frame.build();
+  }
+
+  private static void setRare(HostFrame.Builder frame, HostMessage message) {
+    if (message instanceof HostMessage.Hold hold) {
+      frame.setHold(
+          HoldBody.newBuilder()
+              .setAsk(hold.ask())
+              .setService(hold.service().value())
+              .setKeyPlusOne(keyPlusOne(hold.key()))
+              .setUpstream(hold.upstream().value()));
+    } else if (message instanceof HostMessage.Hello hello) {
+      frame.setHello(
+          HelloBody.newBuilder()
+              .setHost(hello.host().value())
+              .setDataCentre(hello.dataCentre().value()));
+    } else if (message instanceof HostMessage.KeyMap map) {
+      frame.setKeyMap(keyMap(map));
+    }
+  }
+
+  /**
+   * Returns the message of a frame.
+   *
+   * @throws MalformedMessageException if the frame holds no message that is known here
+   */
+  static HostMessage fromProto(HostFrame frame) throws MalformedMessageException {
+    try {
+      return switch (frame.getBodyCase()) {
+        case ASK -> ask(frame.getAsk());
+        case GIVE ->
+            new HostMessage.Give(
+                frame.getGive().getAsk(),
+                UpstreamId.of(frame.getGive().getUpstream()),
+                frame.getGive().getFence());
+        case DONE -> done(frame.getDone());
+        case REFUSE ->
+            new HostMessage.Refuse(
+                frame.getRefuse().getAsk(),
+                frame.getRefuse().getRetryAfterMillis(),
+                frame.getRefuse().getReason());
+        case HEARTBEAT ->
+            new HostMessage.Heartbeat(
+                frame.getHeartbeat().getTerm(),
+                frame.getHeartbeat().getLeased(),
+                frame.getHeartbeat().getHosts());
+        case CANCEL -> new HostMessage.Cancel(frame.getCancel().getAsk());
+        case HOLD ->
+            new HostMessage.Hold(
+                frame.getHold().getAsk(),
+                ServiceId.of(frame.getHold().getService()),
+                key(frame.getHold().getKeyPlusOne()),
+                UpstreamId.of(frame.getHold().getUpstream()));
+        case HELLO ->
+            new HostMessage.Hello(
+                HostId.of(frame.getHello().getHost()),
+                DataCentreId.of(frame.getHello().getDataCentre()));
+        case KEY_MAP -> keyMap(frame.getKeyMap());
+        case BODY_NOT_SET -> throw new IllegalArgumentException("a frame without a message");
+      };
+    } catch (IllegalArgumentException e) {
+      throw new MalformedMessageException("not a message between hosts: " + e.getMessage(), e);
+    }
+  }
+
+  private static AskBody ask(HostMessage.Ask ask) {
+    return AskBody.newBuilder()
+        .setAsk(ask.ask())
+        .setService(ask.service().value())
+        .setKeyPlusOne(keyPlusOne(ask.key()))
+        .setPriority(ask.priority())
+        .setDeadlineMillis(toInt(ask.deadlineMillis()))
+        .setTargetMillis(toInt(ask.targetMillis()))
+        .setLarge(ask.large())
+        .addAllAvoid(ask.avoid().stream().map(UpstreamId::value).toList())
+        .build();
+  }
+
+  private static HostMessage.Ask ask(AskBody body) {
+    return new HostMessage.Ask(
+        body.getAsk(),
+        ServiceId.of(body.getService()),
+        key(body.getKeyPlusOne()),
+        body.getPriority(),
+        body.getDeadlineMillis(),
+        body.getTargetMillis(),
+        body.getLarge(),
+        body.getAvoidList().stream().map(UpstreamId::of).collect(Collectors.toSet()));
+  }
+
+  private static HostMessage.Done done(DoneBody body) {
+    return new HostMessage.Done(
+        body.getAsk(),
+        UpstreamId.of(body.getUpstream()),
+        Completion.ofCode(body.getOutcome()),
+        body.getRunMillis(),
+        body.getWorkPercent());
+  }
+
+  private static KeyMapBody keyMap(HostMessage.KeyMap map) {
+    KeyMapBody.Builder body = KeyMapBody.newBuilder().setService(map.service().value());
+    map.byFirstKey()
+        .forEach(
+            (first, upstream) ->
+                body.addRanges(
+                    OwnedRange.newBuilder().setFirst(first).setUpstream(upstream.value())));
+    return body.build();
+  }
+
+  private static HostMessage.KeyMap keyMap(KeyMapBody body) {
+    Map<Integer, UpstreamId> byFirstKey =
+        body.getRangesList().stream()
+            .collect(
+                Collectors.toMap(
+                    OwnedRange::getFirst,
+                    range -> UpstreamId.of(range.getUpstream()),
+                    (first, second) -> second));
+    return new HostMessage.KeyMap(ServiceId.of(body.getService()), byFirstKey);
+  }
+
+  private static int keyPlusOne(OptionalInt key) {
+    return key.isPresent() ? key.getAsInt() + 1 : 0;
+  }
+
+  private static OptionalInt key(int keyPlusOne) {
+    return keyPlusOne > 0 ? OptionalInt.of(keyPlusOne - 1) : OptionalInt.empty();
+  }
+
+  private static int toInt(long value) {
+    return (int) Math.max(0, Math.min(Integer.MAX_VALUE, value));
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/CallConnection.java
@@ -0,0 +1,226 @@
+package dev.hornbeamwheel.wire.http;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.time.Clock;
+import dev.hornbeamwheel.wire.Channels;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** One connection of an {@link HttpCaller} and the call that it carries. */
+final class CallConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+  /** How long a connection is kept if the other side names no time, in milliseconds. */
+  private static final long IDLE_MILLIS = 8_000;
+
+  /** Part of the named time for which a connection is used. */
+  private static final double IDLE_PART = 0.8;
+
+  private static final String KEEP_ALIVE = "Keep-Alive";
+
+  private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout=(\\d{1,6})");
+
+  private final HttpCaller owner;
+  private final Clock clock;
+  private final Address address;
+  private Channel channel;
+  private Call call;
+  private Consumer<CallResult> result;
+  private Future<?> timeout;
+  private boolean sent;
+  private boolean used;
+  private boolean spoilt;
+  private long idleSinceMillis;
+  private long idleLimitMillis = IDLE_MILLIS;
+
+  CallConnection(HttpCaller owner, Clock clock, Address address) {
+    super(false);
+    this.owner = owner;
+    this.clock = clock;
+    this.address = address;
+  }
+
+  Address address() {
+    return address;
+  }
+
+  /** Notes the call for which the connection is being made. */
+  void connecting(Channel connectingChannel, Call first, Consumer<CallResult> receiver) {
+    channel = connectingChannel;
+    call = first;
+    result = receiver;
+    startTimeout();
+  }
+
+  void connected(boolean success, Throwable cause) {
+    if (call == null) {
+      Channels.reset(channel);
+    } else if (success) {
+      send();
+    } else {
+      call.request().release();
+      end(new CallResult.Unreachable(String.valueOf(cause)));
+    }
+  }
+
+  /** Starts a call on an established connection. */
+  void start(Call next, Consumer<CallResult> receiver) {
+    call = next;
+    result = receiver;
+    used = true;
+    startTimeout();
+    send();
+  }
+
+  void abort() {
+    if (call != null) {
+      releaseUnsent();
+      clear();
+    }
+    Channels.reset(channel);
+  }
+
+  void close() {
+    Channels.close(channel);
+  }
+
+  boolean usable(long nowMillis) {
+    return channel.isActive() && !spoilt && idleFor(nowMillis) < idleLimitMillis;
+  }
+
+  long idleFor(long nowMillis) {
+    return nowMillis - idleSinceMillis;
+  }
+
+  boolean closeIfExpired(long nowMillis) {
+    if (usable(nowMillis)) {
+      return false;
+    }
+    close();
+    return true;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+    if (call == null) {
+      response.release();
+      spoilt = true;
+      Channels.reset(channel);
+    } else if (response.decoderResult().isFailure()) {
+      String reason = "not an HTTP answer: " + response.decoderResult().cause();
+      response.release();
+      fail(new CallResult.Broken(reason));
+    } else if (response.status().code() < 200) {
+      response.release();
+    } else if (!call.belongs().test(response)) {
+      // An extra answer to an earlier request; ours is still to come.
+      response.release();
+      spoilt = true;
+    } else {
+      complete(response);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    fail(new CallResult.Broken(String.valueOf(cause)));
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    owner.forget(this);
+    fail(new CallResult.Broken("connection closed before the whole answer"));
+  }
+
+  private void send() {
+    sent = true;
+    Channels.send(channel, call.request());
+  }
+
+  private void complete(FullHttpResponse response) {
+    boolean framed =
+        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+    boolean keep =
+        !spoilt
+            && framed
+            && HttpUtil.isKeepAlive(response)
+            && HttpUtil.isKeepAlive(call.request())
+            && channel.isActive();
+    if (keep) {
+      noteIdleLimit(response);
+    }
+    Consumer<CallResult> receiver = result;
+    clear();
+    if (keep) {
+      idleSinceMillis = clock.millis();
+      owner.keep(this);
+    } else {
+      close();
+    }
+    receiver.accept(new CallResult.Answered(response));
+  }
+
+  private void noteIdleLimit(FullHttpResponse response) {
+    String keepAlive = response.headers().get(KEEP_ALIVE);
+    if (keepAlive == null) {
+      return;
+    }
+    Matcher seconds = KEEP_ALIVE_SECONDS.matcher(keepAlive);
+    if (seconds.find()) {
+      long millis = TimeUnit.SECONDS.toMillis(Long.parseLong(seconds.group(1)));
+      idleLimitMillis = (long) (millis * IDLE_PART);
+    }
+  }
+
+  private void startTimeout() {
+    timeout =
+        channel
+            .eventLoop()
+            .schedule(this::timedOut, Math.max(1, call.timeoutMillis()), TimeUnit.MILLISECONDS);
+  }
+
+  private void timedOut() {
+    if (call == null) {
+      return;
+    }
+    if (used) {
+      // The connections of this age may have gone silent together.
+      owner.distrust(address);
+    }
+    fail(sent ? new CallResult.TimedOut() : new CallResult.Unreachable("connecting timed out"));
+  }
+
+  private void fail(CallResult failure) {
+    spoilt = true;
+    if (call != null) {
+      releaseUnsent();
+      end(failure);
+    }
+    Channels.reset(channel);
+  }
+
+  private void releaseUnsent() {
+    if (!sent) {
+      call.request().release();
+    }
+  }
+
+  private void end(CallResult ended) {
+    Consumer<CallResult> receiver = result;
+    clear();
+    receiver.accept(ended);
+  }
+
+  private void clear() {
+    var unused = timeout.cancel(false);
+    call = null;
+    result = null;
+    sent = false;
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/CallHandle.java
@@ -0,0 +1,8 @@
+package dev.hornbeamwheel.wire.http;
+
+/** A call that is under way. */
+@FunctionalInterface
+public interface CallHandle {
+  /** Resets the connection; the result of the call is not reported. */
+  void abort();
+}
--- /dev/null
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/HttpCaller.java
@@ -0,0 +1,154 @@
+package dev.hornbeamwheel.wire.http;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.time.Clock;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Makes HTTP calls, one at a time on each connection, and keeps connections for later calls.
+ *
+ * <p>A connection on which anything unexpected arrived is never used again. Confined to the thread
+ * of its event loop.
+ */
+public final class HttpCaller {
+  /** Most idle connections that are kept to one address. */
+  private static final int MAX_IDLE = 4;
+
+  private final EventLoopGroup loop;
+  private final Clock clock;
+  private final int connectMillis;
+  private final int maxAnswerBytes;
+  private final Map<Address, Deque<CallConnection>> idle = new HashMap<>();
+
+  private HttpCaller(EventLoopGroup loop, Clock clock, int connectMillis, int maxAnswerBytes) {
+    this.loop = loop;
+    this.clock = clock;
+    this.connectMillis = connectMillis;
+    this.maxAnswerBytes = maxAnswerBytes;
+  }
+
+  /**
+   * Returns a caller without connections.
+   *
+   * @param connectMillis how long to wait for a connection, in milliseconds
+   * @param maxAnswerBytes longest body of an answer, in bytes
+   */
+  public static HttpCaller create(
+      EventLoopGroup loop, Clock clock, int connectMillis, int maxAnswerBytes) {
+    return new HttpCaller(loop, clock, connectMillis, maxAnswerBytes);
+  }
+
+  /** Starts a call; its result is reported once, on the thread of the event loop. */
+  public CallHandle call(Call call, Consumer<CallResult> result) {
+    CallConnection kept = takeIdle(call);
+    if (kept != null) {
+      kept.start(call, result);
+      return kept::abort;
+    }
+    return connect(call, result);
+  }
+
+  /** Closes idle connections that are past their time; to be called now and then. */
+  public void closeExpired() {
+    long now = clock.millis();
+    idle.values()
+        .removeIf(
+            connections -> {
+              connections.removeIf(connection -> connection.closeIfExpired(now));
+              return connections.isEmpty();
+            });
+  }
+
+  /** Keeps a connection for later calls. */
+  void keep(CallConnection connection) {
+    Deque<CallConnection> connections =
+        idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>());
+    if (connections.size() >= MAX_IDLE) {
+      connection.close();
+    } else {
+      connections.addFirst(connection);
+    }
+  }
+
+  /** Forgets a connection that has ended. */
+  void forget(CallConnection connection) {
+    Deque<CallConnection> connections = idle.get(connection.address());
+    if (connections != null) {
+      connections.remove(connection);
+    }
+  }
+
+  /** Closes the idle connections to an address at which a kept one gave no answer. */
+  void distrust(Address address) {
+    Deque<CallConnection> connections = idle.remove(address);
+    if (connections != null) {
+      connections.forEach(CallConnection::close);
+    }
+  }
+
+  private CallConnection takeIdle(Call call) {
+    Deque<CallConnection> connections = idle.get(call.address());
+    if (connections == null) {
+      return null;
+    }
+    long now = clock.millis();
+    while (!connections.isEmpty()) {
+      CallConnection connection = connections.peekFirst();
+      if (!connection.usable(now)) {
+        connections.removeFirst();
+        connection.close();
+      } else if (connection.idleFor(now) > call.oldestIdleMillis()) {
+        return null;
+      } else {
+        return connections.removeFirst();
+      }
+    }
+    return null;
+  }
+
+  private CallHandle connect(Call call, Consumer<CallResult> result) {
+    CallConnection connection = new CallConnection(this, clock, call.address());
+    ChannelFuture connecting =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                (int) Math.max(1, Math.min(connectMillis, call.timeoutMillis())))
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    addCodec(channel, connection);
+                  }
+                })
+            .connect(call.address().host(), call.address().port());
+    connection.connecting(connecting.channel(), call, result);
+    var unused =
+        connecting.addListener(done -> connection.connected(done.isSuccess(), done.cause()));
+    return connection::abort;
+  }
+
+  private void addCodec(Channel channel, CallConnection connection) {
+    channel
+        .pipeline()
+        .addLast(new HttpClientCodec())
+        .addLast(new HttpObjectAggregator(maxAnswerBytes))
+        .addLast(connection);
+  }
+}
