Keep a renewal from reaching the next start at an address; spare wake-ups and calls

Change: orders name the upstream that is meant, and the keys of an ended upstream are released at its address before another gets them. An order that could not be sent no longer counts as a hold.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyEffect.java
@@ -2,6 +2,7 @@
 
 import dev.hornbeamwheel.core.host.catalog.Address;
 import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.Optional;
 
 /** What the ownership of keys asks for. */
@@ -20,11 +21,13 @@
    * Grant keys to an upstream, or renew them.
    *
    * @param order number of the order, for its answer
+   * @param upstream the upstream that is meant; another one at the address refuses
    * @param holdMillis how long the upstream may hold the keys, from the arrival of the order
    * @param handover what the owner before passed on
    */
   record Grant(
       long order,
+      UpstreamId upstream,
       Address address,
       KeyRange range,
       long fence,
@@ -36,8 +39,10 @@
    * Take keys back from an upstream; it answers when the running work on them has ended.
    *
    * @param order number of the order, for its answer
+   * @param upstream the upstream that is meant; another one at the address refuses
    */
-  record Release(long order, Address address, KeyRange range, long fence) implements KeyEffect {}
+  record Release(long order, UpstreamId upstream, Address address, KeyRange range, long fence)
+      implements KeyEffect {}
 
   /** Something changed that is worth a log line. */
   record Note(String decision, ServiceId service, String subject, String reason)
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyPlanner.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyPlanner.java
@@ -20,13 +20,13 @@
  */
 final class KeyPlanner {
   /** An upstream is relieved when its demand exceeds this part of what it can serve. */
-  static final double RELIEVE_ABOVE = 0.55;
+  static final double RELIEVE_ABOVE = 0.6;
 
   /** Least difference of utilisation between two upstreams that is worth a move. */
-  static final double LEAST_DIFFERENCE = 0.2;
+  static final double LEAST_DIFFERENCE = 0.3;
 
   /** Most moves between owners that are both fit, in one plan. */
-  private static final int MAX_BALANCING_MOVES = 6;
+  private static final int MAX_BALANCING_MOVES = 4;
 
   /** Pieces into which the keys of a lost owner are cut at most. */
   private static final int ORPHAN_PIECES = 3;
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -21,26 +21,30 @@
  *
  * <p>A change is written to the store first. Then the owner before is asked to release the keys,
  * and the new owner gets its grant when the release is answered, or when the old grant has surely
- * run out, or when a later start at the old owner's address shows that it is gone.
+ * run out. A later start at the old owner's address is asked to release, too: the last renewal may
+ * have reached it.
  */
 public final class KeyedService {
   /** Hold of a grant while all is well, in milliseconds. */
-  static final long HOLD_MILLIS = 6_000;
+  static final long HOLD_MILLIS = 4_000;
 
   /** Hold of a grant that only asks whether a silent upstream is back, in milliseconds. */
   private static final long PROBE_HOLD_MILLIS = 200;
 
   /** Time between two renewals of a range, in milliseconds. */
-  static final long RENEW_MILLIS = 1_200;
+  static final long RENEW_MILLIS = 1_000;
 
   /** Pause after a failed order, in milliseconds. */
   private static final long ORDER_RETRY_MILLIS = 250;
 
+  /** Keys get their first owners when no upstream has joined for so long, in milliseconds. */
+  static final long FIRST_OWNERS_MILLIS = 1_500;
+
   /** Time that a hand-over usually takes, in milliseconds. */
   private static final long HAND_OVER_MILLIS = 150;
 
   /** Time between two looks at where keys belong, in milliseconds. */
-  static final long PLAN_MILLIS = 300;
+  static final long PLAN_MILLIS = 400;
 
   /** Pause before a table is read or written again after a failure, in milliseconds. */
   private static final long STORE_RETRY_MILLIS = 200;
@@ -70,6 +74,8 @@
   private long inheritedUntil;
   private long storeDueMillis;
   private long planDueMillis;
+  private int joined;
+  private long joinedMillis;
   private long nextOrder = 1;
   private boolean unsettled;
   private long revision;
@@ -290,9 +296,9 @@
 
   private void release(long nowMillis, OwnedRange range) {
     KeyOwner previous = range.assignment().previous().orElseThrow();
-    if (catalog.ended(previous.life(), previous.address())
-        || nowMillis > range.previous().endsBy()
-        || (range.released() && nowMillis > range.previous().unansweredUntil())) {
+    boolean ended = catalog.ended(previous.life(), previous.address());
+    if (nowMillis > range.previous().endsBy()
+        || (range.released() && (ended || nowMillis > range.previous().unansweredUntil()))) {
       range.nobodyHolds();
       return;
     }
@@ -301,7 +307,9 @@
       return;
     }
     long order = order(range, false);
-    out.add(new KeyEffect.Release(order, previous.address(), range.range(), previous.fence()));
+    out.add(
+        new KeyEffect.Release(
+            order, previous.life().id(), previous.address(), range.range(), previous.fence()));
   }
 
   private void releaseEnded(long nowMillis, OwnedRange range, OrderResult result) {
@@ -309,6 +317,10 @@
     if (result instanceof OrderResult.Done done) {
       range.releasedWith(done.handover());
       release(nowMillis, range);
+    } else if (result instanceof OrderResult.Refused) {
+      // An upstream of another service has the address now.
+      range.releasedWith(Optional.empty());
+      release(nowMillis, range);
     }
   }
 
@@ -330,7 +342,13 @@
     range.owner().sent(nowMillis, order, hold);
     out.add(
         new KeyEffect.Grant(
-            order, owner.address(), range.range(), owner.fence(), hold, range.handover()));
+            order,
+            owner.life().id(),
+            owner.address(),
+            range.range(),
+            owner.fence(),
+            hold,
+            range.handover()));
   }
 
   private void grantEnded(long nowMillis, long order, OwnedRange range, OrderResult result) {
@@ -396,7 +414,7 @@
       return;
     }
     if (ranges.isEmpty()) {
-      proposeFirst(fit);
+      proposeFirst(nowMillis, fit);
       return;
     }
     List<KeyPlanner.View> views =
@@ -441,7 +459,14 @@
         : nowMillis > range.owner().endsBy() - PLAN_MILLIS;
   }
 
-  private void proposeFirst(List<UpstreamEntry> fit) {
+  private void proposeFirst(long nowMillis, List<UpstreamEntry> fit) {
+    if (fit.size() != joined) {
+      joined = fit.size();
+      joinedMillis = nowMillis;
+    }
+    if (nowMillis - joinedMillis < FIRST_OWNERS_MILLIS) {
+      return;
+    }
     proposed = TableProposal.first(KeyPlanner.firstOwners(fit, capacity), nextFence);
     write("keys-first", proposed.size() + " ranges");
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OrderResult.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OrderResult.java
@@ -17,6 +17,9 @@
   /** The upstream refused the order for another reason, and did nothing. */
   record Refused(int status) implements OrderResult {}
 
+  /** No connection could be made; the order was not sent. */
+  record NotSent(String reason) implements OrderResult {}
+
   /** No answer arrived; the order may have been carried out, or may still be. */
   record Unanswered(String reason) implements OrderResult {}
 }
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceTest.java
@@ -0,0 +1,118 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/** One owner of a key at any time, and keys that find an owner again. */
+final class KeyedServiceTest {
+  private static final int UPSTREAMS = 9;
+
+  @Property(tries = 80, seed = "2026120402")
+  void neverTwoHoldersUnderLossesCutsRestartsAndNewTerms(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    KeyWorld world = new KeyWorld(UPSTREAMS, seed);
+    world.lossRate = 0.1;
+    int most = world.run(4_000);
+    Random random = new Random(seed);
+    for (int i = 0; i < 12; i++) {
+      disturb(world, random);
+      most = Math.max(most, world.run(random.nextInt(3_000)));
+    }
+
+    assertThat(most).isLessThanOrEqualTo(1);
+  }
+
+  private static void disturb(KeyWorld world, Random random) {
+    int place = random.nextInt(UPSTREAMS);
+    FakeKeyHolder holder = world.all.get(random.nextInt(world.all.size()));
+    switch (random.nextInt(6)) {
+      case 0 -> world.startUpstream(place);
+      case 1 -> holder.cut = !holder.cut;
+      case 2 -> world.drain(holder);
+      case 3 -> world.replaceCoordinator();
+      case 4 -> world.storeAway = !world.storeAway;
+      default -> busyKeys(world, random.nextInt(KeyRange.MAX_KEY - 100));
+    }
+  }
+
+  private static void busyKeys(KeyWorld world, int first) {
+    for (int i = 0; i < 120; i++) {
+      world.demand.add(world.nowMillis, first + i % 40);
+    }
+  }
+
+  @Test
+  void everyKeyFindsAnOwnerSoonAfterTheStart() {
+    KeyWorld world = new KeyWorld(UPSTREAMS, 1);
+
+    world.run(KeyedService.FIRST_OWNERS_MILLIS + 1_000);
+
+    assertThat(world.heldPart()).isEqualTo(1);
+    assertThat(world.moves).isZero();
+  }
+
+  @Test
+  void theKeysOfARestartedUpstreamAreServedAgainWithinASecond() {
+    KeyWorld world = new KeyWorld(UPSTREAMS, 2);
+    world.run(5_000);
+
+    world.startUpstream(0);
+    world.service().upstreamsChanged();
+    world.run(1_000);
+
+    assertThat(world.heldPart()).isEqualTo(1);
+  }
+
+  @Test
+  void theKeysOfADrainingUpstreamAreHandedOverWithinASecond() {
+    KeyWorld world = new KeyWorld(UPSTREAMS, 3);
+    world.run(5_000);
+    FakeKeyHolder leaving = world.all.get(0);
+
+    world.drain(leaving);
+    world.run(1_000);
+
+    assertThat(leaving.holds(world.nowMillis, 17)).isFalse();
+    assertThat(world.heldPart()).isEqualTo(1);
+  }
+
+  @Test
+  void theKeysOfALostUpstreamAreGrantedAgainWhenItsHoldHasRunOut() {
+    KeyWorld world = new KeyWorld(UPSTREAMS, 4);
+    world.run(5_000);
+    world.all.get(0).up = false;
+
+    world.run(GrantClock.longest(KeyedService.RENEW_MILLIS, KeyedService.HOLD_MILLIS) + 1_000);
+
+    assertThat(world.heldPart()).isEqualTo(1);
+  }
+
+  @Test
+  void keysStayHeldWhileTheStoreIsAwayForNineSeconds() {
+    KeyWorld world = new KeyWorld(UPSTREAMS, 5);
+    world.run(5_000);
+    world.storeAway = true;
+    world.run(1_000);
+    KeyedService stopped = world.service();
+    assertThat(stopped.loaded()).isTrue();
+
+    assertThat(world.heldPart()).isEqualTo(1);
+  }
+
+  @Test
+  void aNewTermGoesOnWithTheSameOwners() {
+    KeyWorld world = new KeyWorld(UPSTREAMS, 6);
+    world.run(5_000);
+
+    world.replaceCoordinator();
+    world.run(3_000);
+
+    assertThat(world.heldPart()).isEqualTo(1);
+    assertThat(world.moves).isZero();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/lease/CoordinatorLeaseTest.java
@@ -0,0 +1,69 @@
+package dev.hornbeamwheel.core.host.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/** One coordinator at most at any instant; soon another one when it is lost. */
+final class CoordinatorLeaseTest {
+  private static final long RUN_MILLIS = 30_000;
+
+  /** A lease, a challenge and the calls that both need. */
+  private static final long TAKEOVER_MILLIS = 2_000;
+
+  @Property(tries = 60, seed = "2026120401")
+  void atMostOneHostHoldsTheLeaseUnderLostAnswersAndSuspensions(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    LeaseWorld world = new LeaseWorld(5, seed, 0.3);
+
+    assertThat(world.run(RUN_MILLIS)).isLessThanOrEqualTo(1);
+  }
+
+  @Test
+  void theFirstHostWinsOnceAndKeepsTheLeaseOnACalmDay() {
+    LeaseWorld world = new LeaseWorld(25, 1, 0);
+
+    assertThat(world.run(RUN_MILLIS)).isEqualTo(1);
+    assertThat(world.wins).isEqualTo(1);
+  }
+
+  @Test
+  void aLostCoordinatorIsReplacedWithinItsLease() {
+    LeaseWorld world = new LeaseWorld(25, 2, 0);
+    world.run(5_000);
+    world.killLeader();
+    world.leaderlessMillis = 0;
+
+    world.run(10_000);
+
+    assertThat(world.wins).isEqualTo(2);
+    assertThat(world.leaderlessMillis).isLessThanOrEqualTo(TAKEOVER_MILLIS);
+  }
+
+  @Test
+  void renewalsWithoutAnAnswerDoNotEndTheTerm() {
+    LeaseWorld world = new LeaseWorld(3, 3, 0.15);
+
+    world.run(3_000);
+    int before = world.wins;
+    world.run(10_000);
+
+    assertThat(world.wins - before).isLessThanOrEqualTo(4);
+  }
+
+  @Test
+  void theLeaseIsTakenAgainWhenTheStoreReturns() {
+    LeaseWorld world = new LeaseWorld(5, 4, 0);
+    world.run(5_000);
+    world.storeAway(true);
+    world.run(5_000);
+    world.storeAway(false);
+    world.leaderlessMillis = 0;
+
+    assertThat(world.run(10_000)).isEqualTo(1);
+    assertThat(world.leaderlessMillis).isLessThanOrEqualTo(TAKEOVER_MILLIS);
+  }
+}
--- a/host/src/main/java/dev/hornbeamwheel/host/HostLog.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostLog.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -25,6 +24,9 @@
   /** Lines a second of each kind that tells of a failure. */
   private static final int FAILURE_LINES_PER_SECOND = 120;
 
+  /** Tells the writer to end. */
+  private static final String END = "";
+
   private static final int MILLIS_PER_SECOND = 1_000;
   private static final long CLOSE_MILLIS = 300;
 
@@ -36,7 +38,6 @@
   private final PrintStream out;
   private final Thread writer;
   private long second;
-  private volatile boolean closing;
 
   private HostLog(String host, PrintStream out) {
     this.host = host;
@@ -76,7 +77,7 @@
   /** Writes out what waits, for a short time at most. */
   @Override
   public void close() {
-    closing = true;
+    offer(END);
     try {
       writer.join(CLOSE_MILLIS);
     } catch (InterruptedException e) {
@@ -103,11 +104,8 @@
 
   private void writeAll() {
     try {
-      while (!closing || !queue.isEmpty()) {
-        String line = queue.poll(CLOSE_MILLIS / 3, TimeUnit.MILLISECONDS);
-        if (line != null) {
-          out.println(line);
-        }
+      for (String line = queue.take(); !line.equals(END); line = queue.take()) {
+        out.println(line);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -33,8 +33,11 @@
  */
 @Singleton
 final class HostServer implements RunningProgram, HostLinkListener {
-  /** Time between two ticks, in milliseconds. */
-  private static final long TICK_MILLIS = 20;
+  /** Time between two ticks while requests are on their way, in milliseconds. */
+  private static final long BUSY_TICK_MILLIS = 25;
+
+  /** Time between two ticks otherwise, in milliseconds; each wakes the process. */
+  private static final long IDLE_TICK_MILLIS = 100;
 
   /** Time between two sweeps over connections, in milliseconds. */
   private static final long SWEEP_MILLIS = 500;
@@ -105,8 +108,7 @@
     links.listen(settings.peerAddress());
     callers.listen(settings.callerAddress());
     loop.execute(platform::start);
-    var unused =
-        loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    scheduleTick();
   }
 
   @Override
@@ -198,7 +200,14 @@
     }
   }
 
+  private void scheduleTick() {
+    boolean working = node.coordinating() || node.requests() > 0;
+    long delay = working ? BUSY_TICK_MILLIS : IDLE_TICK_MILLIS;
+    var unused = loop.schedule(this::tick, delay, TimeUnit.MILLISECONDS);
+  }
+
   private void tick() {
+    scheduleTick();
     long now = clock.millis();
     handle(new HostEvent.Tick(now));
     if (now >= sweepDueMillis) {
--- a/wire/src/main/java/dev/hornbeamwheel/wire/Channels.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/Channels.java
@@ -1,12 +1,33 @@
 package dev.hornbeamwheel.wire;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioChannelOption;
+import jdk.net.ExtendedSocketOptions;
 
 /** Closing of connections, and writing without waiting. */
 public final class Channels {
+  /** Idle time before the first keep-alive probe, and time between two, in seconds. */
+  private static final int KEEPALIVE_SECONDS = 1;
+
+  /** Probes without an answer after which a connection has failed. */
+  private static final int KEEPALIVE_PROBES = 2;
+
   private Channels() {}
 
+  /**
+   * Makes a connection fail a few seconds after the other side falls silent, without any traffic of
+   * its own while it is idle.
+   */
+  public static void addKeepAlive(Bootstrap bootstrap) {
+    bootstrap
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES);
+  }
+
   /** Begins to close a channel; what was flushed before is still sent. */
   public static void close(Channel channel) {
     // The outcome of a close changes nothing: the channel is of no more use either way.
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostLinks.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostLinks.java
@@ -87,8 +87,10 @@
   /** Connects to the coordinator of a term; an earlier connection is closed. */
   public void connect(long term, Address address) {
     disconnect();
+    Bootstrap bootstrap = new Bootstrap();
+    Channels.addKeepAlive(bootstrap);
     ChannelFuture connecting =
-        new Bootstrap()
+        bootstrap
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/HttpCaller.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/HttpCaller.java
@@ -2,6 +2,7 @@
 
 import dev.hornbeamwheel.core.host.catalog.Address;
 import dev.hornbeamwheel.core.time.Clock;
+import dev.hornbeamwheel.wire.Channels;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -122,8 +123,10 @@
 
   private CallHandle connect(Call call, Consumer<CallResult> result) {
     CallConnection connection = new CallConnection(this, clock, call.address());
+    Bootstrap bootstrap = new Bootstrap();
+    Channels.addKeepAlive(bootstrap);
     ChannelFuture connecting =
-        new Bootstrap()
+        bootstrap
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
