--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -118,6 +118,7 @@
       if (!stopped.await(settings.graceMillis(), TimeUnit.MILLISECONDS)) {
         log.write(LogEntry.failure("stopped-late"));
       }
+      var unused = loop.shutdownGracefully(0, STOP_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -227,7 +228,7 @@
 
   private void goOnStopping(long now) {
     long since = now - stoppingSinceMillis;
-    if (since < CLOSE_IDLE_MILLIS) {
+    if (since < Math.min(CLOSE_IDLE_MILLIS, settings.graceMillis() / 2)) {
       return;
     }
     callers.closeIdle();
--- /dev/null
+++ b/host/src/test/java/dev/hornbeamwheel/host/ClassListMain.java
@@ -0,0 +1,53 @@
+package dev.hornbeamwheel.host;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs an entry host against stand-ins and has it write down the classes that it loads, for the
+ * class-data archive; see tools/class-list.
+ */
+final class ClassListMain {
+  private static final Duration START = Duration.ofSeconds(20);
+  private static final int REQUESTS = 400;
+
+  private ClassListMain() {}
+
+  /** Takes the path of the list to write and the class path of the host. */
+  public static void main(String[] args) throws IOException, InterruptedException {
+    try (SiteFixture site = new SiteFixture(1)) {
+      site.awaitServing(0, START);
+      Path settings = Files.createTempFile("host", ".json");
+      Files.writeString(settings, site.secondHostSettings());
+      Process host =
+          new ProcessBuilder(
+                  List.of(
+                      "java",
+                      "-XX:+UseSerialGC",
+                      "-XX:DumpLoadedClassList=" + args[0],
+                      "-Dio.netty.allocator.type=unpooled",
+                      "-Dio.netty.noPreferDirect=true",
+                      "-cp",
+                      args[1],
+                      "dev.hornbeamwheel.host.HostMain",
+                      "--settings",
+                      settings.toString()))
+              .inheritIO()
+              .start();
+      site.awaitServing(1, START);
+      site.host(0).stop();
+      for (int i = 0; i < REQUESTS; i++) {
+        site.lookup(1, i * 163);
+        site.order(1);
+        Thread.sleep(10);
+      }
+      host.destroy();
+      host.waitFor(START.toSeconds(), TimeUnit.SECONDS);
+      Files.delete(settings);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the users' machines: the platform's store and upstreams that hold keys. */
+package dev.hornbeamwheel.standins.site;
