Merge neighbouring ranges of one owner, and bound the orders to an upstream

Ruled out: the store (it answered all the while) and the time of a process's start (1 s). Change: neighbours of one owner become one range whenever the table is written; no balancing above 6 ranges an owner; 2 open orders an upstream. Test: manyMovesOfWanderingBusyKeysLeaveFewRanges.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantClock.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantClock.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.core.host.keys;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -54,6 +55,18 @@
     return copy;
   }
 
+  /** Returns the clock of a range whose parts were granted by these clocks. */
+  static GrantClock of(List<GrantClock> parts) {
+    GrantClock whole = new GrantClock();
+    parts.forEach(
+        part -> {
+          whole.open.putAll(part.open);
+          whole.answeredUntil = Math.max(whole.answeredUntil, part.answeredUntil);
+          whole.unansweredUntil = Math.max(whole.unansweredUntil, part.unansweredUntil);
+        });
+    return whole;
+  }
+
   /** Returns when the hold of a grant that is sent now has surely run out. */
   static long longest(long nowMillis, long holdMillis) {
     return nowMillis + CALL_MILLIS + FLIGHT_MILLIS + stretched(holdMillis);
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyPlanner.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyPlanner.java
@@ -28,6 +28,9 @@
   /** Most moves between owners that are both fit, in one plan. */
   private static final int MAX_BALANCING_MOVES = 4;
 
+  /** Ranges that each owner has on average at most; each is renewed by a call of its own. */
+  private static final int MAX_RANGES_PER_OWNER = 6;
+
   /** Pieces into which the keys of a lost owner are cut at most. */
   private static final int ORPHAN_PIECES = 3;
 
@@ -91,7 +94,9 @@
     if (!planner.targets.isEmpty()) {
       planner.placeOrphans();
       planner.fillEmpty();
-      planner.balance();
+      if (views.size() < MAX_RANGES_PER_OWNER * fit.size()) {
+        planner.balance();
+      }
     }
     return planner.moves;
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -4,7 +4,6 @@
 import dev.hornbeamwheel.core.host.catalog.UpstreamEntry;
 import dev.hornbeamwheel.core.host.catalog.UpstreamLife;
 import dev.hornbeamwheel.core.host.keys.OwnedRange.Phase;
-import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.ArrayList;
@@ -34,6 +33,9 @@
   /** Time between two renewals of a range, in milliseconds. */
   static final long RENEW_MILLIS = 1_000;
 
+  /** Orders to one upstream that may be open at once; each needs a connection. */
+  private static final int MAX_OPEN_ORDERS = 2;
+
   /** Pause after a failed order, in milliseconds. */
   private static final long ORDER_RETRY_MILLIS = 250;
 
@@ -49,9 +51,6 @@
   /** Pause before a table is read or written again after a failure, in milliseconds. */
   private static final long STORE_RETRY_MILLIS = 200;
 
-  /** Part of a data centre's owners that must be silent for it to count as cut off. */
-  private static final double CUT_OFF_PART = 0.6;
-
   /** Keys of a data centre that is cut off stay there for so long, in milliseconds. */
   static final long CUT_OFF_PATIENCE_MILLIS = 7_000;
 
@@ -61,8 +60,8 @@
   private final long holdMaxMillis;
   private final KeyDemand demand;
   private final UpstreamContact contact = new UpstreamContact();
+  private final CutOffDataCentres cutOff;
   private final Map<Long, OwnedRange> orders = new HashMap<>();
-  private final Map<DataCentreId, Long> silentSince = new HashMap<>();
   private final List<KeyEffect> out = new ArrayList<>();
 
   private List<OwnedRange> ranges = List.of();
@@ -87,6 +86,7 @@
     this.capacity = capacity;
     this.demand = demand;
     this.holdMaxMillis = holdMaxMillis;
+    this.cutOff = new CutOffDataCentres(catalog);
   }
 
   /**
@@ -175,7 +175,8 @@
       readTable(nowMillis);
       return drain();
     }
-    noteSilence(nowMillis);
+    List<KeyOwner> owners = ranges.stream().map(r -> r.assignment().owner()).toList();
+    cutOff.note(nowMillis, owners, contact);
     ranges.forEach(range -> advance(nowMillis, range, storeDoubtful));
     if (!storeBusy && nowMillis >= storeDueMillis && nowMillis >= planDueMillis) {
       planDueMillis = nowMillis + PLAN_MILLIS;
@@ -290,11 +291,19 @@
     if (range.phase() == Phase.RELEASING) {
       release(nowMillis, range);
     }
-    if (range.phase() != Phase.RELEASING && range.idle(nowMillis)) {
+    if (range.phase() != Phase.RELEASING
+        && range.idle(nowMillis)
+        && openOrders(range.assignment().owner()) < MAX_OPEN_ORDERS) {
       grant(nowMillis, range, storeDoubtful);
     }
   }
 
+  private long openOrders(KeyOwner owner) {
+    return orders.values().stream()
+        .filter(open -> open.assignment().owner().life().equals(owner.life()))
+        .count();
+  }
+
   private void release(long nowMillis, OwnedRange range) {
     KeyOwner previous = range.assignment().previous().orElseThrow();
     boolean ended = catalog.ended(previous.life(), previous.address());
@@ -330,7 +339,7 @@
       return;
     }
     long hold = storeDoubtful ? holdMaxMillis : Math.min(HOLD_MILLIS, holdMaxMillis);
-    if (contact.silent(owner.life()) && !cutOff(owner)) {
+    if (contact.silent(owner.life()) && !cutOff.contains(owner)) {
       // Longer holds would keep the keys of a lost upstream from others.
       hold = PROBE_HOLD_MILLIS;
       if (GrantClock.longest(nowMillis, hold) > range.owner().endsBy()) {
@@ -381,34 +390,6 @@
     return order;
   }
 
-  /** Notes since when most owners of a data centre are silent. */
-  private void noteSilence(long nowMillis) {
-    Map<DataCentreId, List<KeyOwner>> byDataCentre =
-        ranges.stream()
-            .map(range -> range.assignment().owner())
-            .filter(owner -> catalog.upstream(owner.life().id()).isPresent())
-            .collect(
-                Collectors.groupingBy(
-                    owner -> catalog.upstream(owner.life().id()).orElseThrow().dataCentre()));
-    byDataCentre.forEach(
-        (dataCentre, owners) -> {
-          long silent =
-              owners.stream().filter(owner -> contact.suspect(nowMillis, owner.life())).count();
-          if (silent >= 2 && silent > owners.size() * CUT_OFF_PART) {
-            silentSince.putIfAbsent(dataCentre, nowMillis);
-          } else {
-            silentSince.remove(dataCentre);
-          }
-        });
-  }
-
-  private boolean cutOff(KeyOwner owner) {
-    return catalog
-        .upstream(owner.life().id())
-        .map(entry -> silentSince.containsKey(entry.dataCentre()))
-        .orElse(false);
-  }
-
   private void plan(long nowMillis) {
     List<UpstreamEntry> fit = fit(nowMillis);
     if (fit.isEmpty()) {
@@ -454,9 +435,8 @@
     if (!contact.suspect(nowMillis, owner.life())) {
       return false;
     }
-    Long since = silentSince.get(entry.get().dataCentre());
-    return since != null
-        ? nowMillis - since > CUT_OFF_PATIENCE_MILLIS
+    return cutOff.contains(owner)
+        ? cutOff.lastsFor(nowMillis, owner) > CUT_OFF_PATIENCE_MILLIS
         : nowMillis > range.owner().endsBy() - PLAN_MILLIS;
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
@@ -1,5 +1,6 @@
 package dev.hornbeamwheel.core.host.keys;
 
+import java.util.List;
 import java.util.Optional;
 
 /** One range of keys and how far its hand-over has come; mutable, part of one service. */
@@ -51,6 +52,19 @@
         assignment, Phase.GRANTING, GrantClock.neverGranted(), GrantClock.neverGranted());
   }
 
+  /** Returns neighbouring ranges of one owner as one, to be granted under its own fence. */
+  static OwnedRange merged(KeyAssignment assignment, List<OwnedRange> parts) {
+    GrantClock owner = GrantClock.of(parts.stream().map(OwnedRange::owner).toList());
+    OwnedRange whole = new OwnedRange(assignment, Phase.HELD, owner, GrantClock.neverGranted());
+    whole.everGranted = true;
+    return whole;
+  }
+
+  /** Returns whether the range could be one with a neighbour of the same owner. */
+  boolean mergeable() {
+    return phase == Phase.HELD && !fenced && assignment.previous().isEmpty();
+  }
+
   /** Returns a part of this range, unchanged. */
   OwnedRange part(KeyRange range) {
     if (range.equals(assignment.range())) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/TableProposal.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/TableProposal.java
@@ -9,14 +9,39 @@
 
 /** A table that is to be written, and how it follows from the present ranges; immutable. */
 final class TableProposal {
-  /** A range of the new table: its present state, and the new assignment if it moves. */
-  private record Part(OwnedRange source, KeyRange range, Optional<KeyAssignment> moved) {
-    KeyAssignment assignment() {
-      return moved.orElseGet(() -> source.part(range).assignment());
+  /** A range of the new table, and how it follows from present ranges. */
+  private sealed interface Part {
+    KeyAssignment assignment();
+
+    OwnedRange apply();
+  }
+
+  /** A range that stays with its owner. */
+  private record Kept(OwnedRange source, KeyRange range) implements Part {
+    @Override
+    public KeyAssignment assignment() {
+      return source.part(range).assignment();
     }
 
-    OwnedRange apply() {
-      return moved.map(source::movedTo).orElseGet(() -> source.part(range));
+    @Override
+    public OwnedRange apply() {
+      return source.part(range);
+    }
+  }
+
+  /** A range that changes its owner. */
+  private record Moved(OwnedRange source, KeyAssignment assignment) implements Part {
+    @Override
+    public OwnedRange apply() {
+      return source.movedTo(assignment);
+    }
+  }
+
+  /** Neighbouring ranges of one owner that become one. */
+  private record Merged(List<Kept> parts, KeyAssignment assignment) implements Part {
+    @Override
+    public OwnedRange apply() {
+      return OwnedRange.merged(assignment, parts.stream().map(Kept::apply).toList());
     }
   }
 
@@ -42,10 +67,7 @@
                 entry ->
                     new KeyAssignment(
                         entry.getKey(), KeyOwner.of(entry.getValue(), fence), Optional.empty()))
-            .map(
-                assignment ->
-                    new Part(
-                        OwnedRange.unheld(assignment), assignment.range(), Optional.of(assignment)))
+            .<Part>map(assignment -> new Moved(OwnedRange.unheld(assignment), assignment))
             .toList();
     return new TableProposal(fence + 1, parts);
   }
@@ -54,7 +76,49 @@
   static TableProposal moving(List<OwnedRange> ranges, List<KeyMove> moves, long fence) {
     List<Part> parts =
         ranges.stream().flatMap(range -> split(range, moves, fence).stream()).toList();
-    return new TableProposal(moves.isEmpty() ? fence : fence + 1, parts);
+    List<Part> merged = merge(parts, fence);
+    boolean fenceUsed = !moves.isEmpty() || merged.size() < parts.size();
+    return new TableProposal(fenceUsed ? fence + 1 : fence, merged);
+  }
+
+  /** Makes neighbours of one owner one range, so that the number of grants stays small. */
+  private static List<Part> merge(List<Part> parts, long fence) {
+    List<Part> merged = new ArrayList<>();
+    List<Kept> run = new ArrayList<>();
+    for (Part part : parts) {
+      if (!run.isEmpty() && !continues(run.get(run.size() - 1), part)) {
+        merged.add(one(run, fence));
+        run.clear();
+      }
+      if (part instanceof Kept kept && kept.source().mergeable()) {
+        run.add(kept);
+      } else {
+        merged.add(part);
+      }
+    }
+    if (!run.isEmpty()) {
+      merged.add(one(run, fence));
+    }
+    return merged;
+  }
+
+  private static boolean continues(Kept before, Part next) {
+    return next instanceof Kept kept
+        && kept.source().mergeable()
+        && before.assignment().owner().life().equals(kept.assignment().owner().life());
+  }
+
+  private static Part one(List<Kept> run, long fence) {
+    Kept first = run.get(0);
+    if (run.size() == 1) {
+      return first;
+    }
+    KeyOwner owner = first.assignment().owner();
+    KeyRange range = new KeyRange(first.range().first(), run.get(run.size() - 1).range().last());
+    return new Merged(
+        List.copyOf(run),
+        new KeyAssignment(
+            range, new KeyOwner(owner.life(), owner.address(), fence), Optional.empty()));
   }
 
   /** Returns the table as it is to lie in the store. */
@@ -93,7 +157,7 @@
   }
 
   private static Part kept(OwnedRange range, int first, int last) {
-    return new Part(range, new KeyRange(first, last), Optional.empty());
+    return new Kept(range, new KeyRange(first, last));
   }
 
   private static Part moved(OwnedRange range, KeyMove move, long fence) {
@@ -101,7 +165,6 @@
     KeyOwner target = KeyOwner.of(move.target(), fence);
     boolean mayHold = range.everGranted() && !owner.life().equals(target.life());
     Optional<KeyOwner> previous = mayHold ? Optional.of(owner) : Optional.empty();
-    return new Part(
-        range, move.range(), Optional.of(new KeyAssignment(move.range(), target, previous)));
+    return new Moved(range, new KeyAssignment(move.range(), target, previous));
   }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceTest.java
@@ -104,6 +104,23 @@
     assertThat(world.heldPart()).isEqualTo(1);
   }
 
+  @Test
+  void manyMovesOfWanderingBusyKeysLeaveFewRanges() {
+    KeyWorld world = new KeyWorld(UPSTREAMS, 8);
+    world.run(5_000);
+    Random random = new Random(8);
+
+    for (int i = 0; i < 60; i++) {
+      busyKeys(world, random.nextInt(KeyRange.MAX_KEY - 100));
+      world.run(1_000);
+    }
+    world.run(10_000);
+
+    assertThat(world.moves).isGreaterThan(UPSTREAMS);
+    assertThat(world.service().owners().size()).isLessThanOrEqualTo(8 * UPSTREAMS);
+    assertThat(world.heldPart()).isEqualTo(1);
+  }
+
   @Test
   void aRefusedReleaseDoesNotFreeKeys() {
     KeyWorld world = new KeyWorld(UPSTREAMS, 7);
