--- a/host/src/main/java/dev/hornbeamwheel/host/HostMain.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostMain.java
@@ -6,18 +6,26 @@
 import dev.hornbeamwheel.runtime.cli.StartError;
 import dev.hornbeamwheel.runtime.cli.StartResult;
 import dev.hornbeamwheel.runtime.settings.SettingsObject;
+import dev.hornbeamwheel.runtime.settings.SettingsReader;
+import dev.hornbeamwheel.runtime.settings.SettingsResult;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 
 /** The command {@code hornbeamwheel-host}. */
 public final class HostMain implements Program<HostSettings> {
+  private final Path file;
   private HostLog log;
 
-  private HostMain() {}
+  private HostMain(Path file) {
+    this.file = file;
+  }
 
   /** Runs the command; see {@code --help}. */
   public static void main(String[] args) throws InterruptedException {
-    System.exit(ProgramRunner.of(new HostMain()).run(withSettings(args)).status());
+    String[] complete = withSettings(args);
+    Path file = Path.of(complete.length > 1 ? complete[1] : "");
+    System.exit(ProgramRunner.of(new HostMain(file)).run(complete).status());
   }
 
   /** Adds the settings file that the platform names, if the command line is empty. */
@@ -48,6 +56,10 @@
     HostServer server = component.server();
     try {
       server.start();
+      if (!HangupSignal.handle(() -> server.settingsRead(refusal()))) {
+        System.getLogger(HostMain.class.getName())
+            .log(System.Logger.Level.WARNING, "SIGHUP ends this process: no handler can be set");
+      }
       return new StartResult.Started(server);
     } catch (IOException e) {
       return new StartResult.Failed(
@@ -59,6 +71,14 @@
     }
   }
 
+  /** Returns why the settings file would be refused now; empty if it is valid. */
+  private String refusal() {
+    SettingsResult<HostSettings> read = SettingsReader.read(file, HostSettings::read);
+    return read instanceof SettingsResult.Rejected<HostSettings> rejected
+        ? rejected.error().message()
+        : "";
+  }
+
   @Override
   public void flushLogs() {
     log.close();
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -115,6 +115,20 @@
     scheduleTick();
   }
 
+  /**
+   * Notes that the settings file was read again; addresses and limits are those of the start.
+   *
+   * @param refusal why the file was refused; empty if it is valid
+   */
+  void settingsRead(String refusal) {
+    loop.execute(
+        () ->
+            log.write(
+                refusal.isEmpty()
+                    ? LogEntry.of("settings-read").with("effect", "at the next start")
+                    : LogEntry.failure("settings-refused").with("reason", refusal)));
+  }
+
   @Override
   public void stop() {
     loop.execute(this::beginStop);
