Give back a slot that comes after the deadline

The event loop had been held up after a restart and read the coordinator's word before its tick ended the request. Change: a request at its deadline is not sent any more. Test: aSlotThatComesAfterTheDeadlineIsGivenBackUnused.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -306,6 +306,14 @@
   }
 
   private void send(long nowMillis, Flight flight, UpstreamEntry upstream) {
+    if (nowMillis >= flight.deadlineMillis) {
+      // The event loop was held up: its tick would have ended the request before.
+      if (flight.byCoordinator) {
+        out.add(new RequestEffect.FreeSlot(flight.ask, upstream.id(), Completion.CANCELLED, 0, 0));
+      }
+      refuse(nowMillis, flight, DEFAULT_RETRY_MILLIS, "deadline reached before a send");
+      return;
+    }
     flight.stage = Flight.Stage.RUNNING;
     flight.upstream = upstream;
     flight.startedMillis = nowMillis;
--- a/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
@@ -207,6 +207,20 @@
     assertThat(archive).isBetween(16L, 24L);
   }
 
+  @Test
+  void aSlotThatComesAfterTheDeadlineIsGivenBackUnused() {
+    configure();
+    take(flow.coordinatorConnected(0));
+    arrive(1, "/lookup/1");
+    long ask = all(RequestEffect.AskSlot.class).get(0).ask();
+
+    take(flow.given(1_300, ask, UpstreamId.of("i-1"), 0));
+
+    assertThat(all(RequestEffect.Send.class)).isEmpty();
+    assertThat(all(RequestEffect.FreeSlot.class)).hasSize(1);
+    assertThat(all(RequestEffect.Answer.class).get(0).answer()).isEqualTo(OwnAnswer.NO_ROOM);
+  }
+
   @Test
   void asksThatASilentCoordinatorDoesNotAnswerAreDecidedHere() {
     configure();
