--- a/host/src/test/java/dev/hornbeamwheel/host/HostServerTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/HostServerTest.java
@@ -5,6 +5,7 @@
 import dev.hornbeamwheel.platform.site.CallerProtocol;
 import dev.hornbeamwheel.standins.site.KeyedUpstreamStandin;
 import dev.hornbeamwheel.standins.site.KeyedUpstreamStandin.Behaviour;
+import dev.hornbeamwheel.standins.site.SiteCaller;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
@@ -97,11 +98,11 @@
 
       site.store.refuse(false);
       site.store.forgetHistory();
-      site.store.put("op", "config", SiteFixture.CONFIGURATION.replace("/order/", "/book/"));
+      site.store.put("op", "config", SiteCaller.CONFIGURATION.replace("/order/", "/book/"));
       site.store.put(
           "op",
           "config",
-          SiteFixture.CONFIGURATION.replace("r7", "r9").replace("/order/", "/book/"));
+          SiteCaller.CONFIGURATION.replace("r7", "r9").replace("/order/", "/book/"));
       Thread.sleep(2_500);
 
       assertThat(site.order(1).statusCode()).isEqualTo(404);
--- a/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
@@ -4,36 +4,17 @@
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.standins.site.KeyedUpstreamStandin;
+import dev.hornbeamwheel.standins.site.SiteCaller;
 import dev.hornbeamwheel.standins.site.StoreStandin;
 import java.io.IOException;
 import java.net.ServerSocket;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.UUID;
 
 /** A store, three keyed and two pooled upstreams, and entry hosts, on the loopback address. */
 final class SiteFixture implements AutoCloseable {
-  static final String CONFIGURATION =
-      """
-      {"version":"r7","routes":[
-        {"name":"lookup","host":"127.0.0.1","prefix":"/lookup/","kind":"safe","timeout_ms":1200,
-         "target_latency_ms":600,"priority":2,"service":"ledger","max_attempts":2},
-        {"name":"order","host":"127.0.0.1","prefix":"/order/","kind":"unsafe","timeout_ms":1500,
-         "target_latency_ms":800,"priority":1,"service":"desk","max_attempts":2}],
-       "services":[
-        {"name":"ledger","health_check_path":"/health","connection_limit":295,"protocol":"h1",
-         "cold_start_s":3.0,"cold_per_s":2.6,"sharded":true,"warm_up_s":3.0,"grants":"call"},
-        {"name":"desk","health_check_path":"/health","connection_limit":295,"protocol":"h1",
-         "cold_start_s":3.0,"cold_per_s":2.6}],
-       "limits":{"header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,
-        "idle_timeout_ms":15000}}""";
-
-  private static final String SHARD_KEY = "X-Hornbeamwheel-Shard-Key";
   private static final String[] DATA_CENTRES = {"quimper", "morlaix", "vannes"};
   private static final int HOLD_MAX_MILLIS = 10_000;
   private static final int GRACE_MILLIS = 1_000;
@@ -43,10 +24,10 @@
   final List<KeyedUpstreamStandin> desk = new ArrayList<>();
   private final List<HostServer> hosts = new ArrayList<>();
   private final List<HostSettings> settings = new ArrayList<>();
-  private final HttpClient http = HttpClient.newHttpClient();
+  private final SiteCaller caller = SiteCaller.create();
 
   SiteFixture(int hostCount) throws IOException {
-    store.put("op", "config", CONFIGURATION);
+    store.put("op", "config", SiteCaller.CONFIGURATION);
     for (int i = 0; i < 3; i++) {
       ledger.add(add("ledger", i, true));
     }
@@ -109,22 +90,23 @@
   }
 
   HttpResponse<String> lookup(int host, int key) throws IOException, InterruptedException {
-    return send(request(host, "/lookup/" + key).header(SHARD_KEY, Integer.toString(key)).GET());
+    return caller.lookup(address(host), key);
   }
 
   HttpResponse<String> order(int host) throws IOException, InterruptedException {
-    return send(
-        request(host, "/order/1").POST(HttpRequest.BodyPublishers.ofString("two roll bars")));
+    return caller.order(address(host));
   }
 
   HttpResponse<String> unrouted(int host) throws IOException, InterruptedException {
-    return send(request(host, "/elsewhere/").GET());
+    return caller.get(address(host), "/elsewhere/");
   }
 
   HttpResponse<String> page(Address address, String path) throws IOException, InterruptedException {
-    return http.send(
-        HttpRequest.newBuilder(URI.create("http://" + address + path)).build(),
-        HttpResponse.BodyHandlers.ofString());
+    return caller.get(address.toString(), path);
+  }
+
+  private String address(int host) {
+    return settings.get(host).callerAddress().toString();
   }
 
   HostSettings settings(int host) {
@@ -143,17 +125,6 @@
     return false;
   }
 
-  private HttpRequest.Builder request(int host, String path) {
-    return HttpRequest.newBuilder(URI.create("http://" + settings.get(host).callerAddress() + path))
-        .header("X-Hornbeamwheel-Request-Attempt-Id", UUID.randomUUID().toString())
-        .header("X-Hornbeamwheel-Deadline-Milliseconds", "2500");
-  }
-
-  private HttpResponse<String> send(HttpRequest.Builder request)
-      throws IOException, InterruptedException {
-    return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
-  }
-
   private static Address freeAddress() throws IOException {
     try (ServerSocket socket = new ServerSocket(0)) {
       return new Address("127.0.0.1", socket.getLocalPort());
