Give no keyed request to an owner before its grant is confirmed in this term

Cause: a new coordinator took the ranges of the table as held. Ruled out: wrong ranges in the table; the same owners confirm their grants within a round of renewals. Change: an owner counts as holder while an answered grant of this term lasts. Asks whose key has no holder yet wait for the owner that the table names. What waits is looked through once for all asks and not once for each, and ranges are found by a sorted map. Test: noRequestGoesToAnOwnerWhoseGrantLapsedWhileAllHostsWereLost fails without the change.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantClock.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantClock.java
@@ -26,13 +26,15 @@
   /**
    * A grant without an answer so far.
    *
+   * @param sentMillis when it was sent
    * @param endsBy when its hold has surely run out if it is never answered
    */
-  private record OpenGrant(long holdMillis, long endsBy) {}
+  private record OpenGrant(long sentMillis, long holdMillis, long endsBy) {}
 
   private final Map<Long, OpenGrant> open = new HashMap<>();
   private long answeredUntil = NEVER;
   private long unansweredUntil = NEVER;
+  private long surelyUntil = NEVER;
 
   private GrantClock() {}
 
@@ -52,12 +54,14 @@
     copy.open.putAll(open);
     copy.answeredUntil = answeredUntil;
     copy.unansweredUntil = unansweredUntil;
+    copy.surelyUntil = surelyUntil;
     return copy;
   }
 
   /** Returns the clock of a range whose parts were granted by these clocks. */
   static GrantClock of(List<GrantClock> parts) {
     GrantClock whole = new GrantClock();
+    whole.surelyUntil = parts.stream().mapToLong(part -> part.surelyUntil).min().orElse(NEVER);
     parts.forEach(
         part -> {
           whole.open.putAll(part.open);
@@ -73,7 +77,7 @@
   }
 
   void sent(long nowMillis, long order, long holdMillis) {
-    open.put(order, new OpenGrant(holdMillis, longest(nowMillis, holdMillis)));
+    open.put(order, new OpenGrant(nowMillis, holdMillis, longest(nowMillis, holdMillis)));
   }
 
   void answered(long nowMillis, long order) {
@@ -81,6 +85,7 @@
     if (grant != null) {
       answeredUntil =
           Math.max(answeredUntil, nowMillis + FLIGHT_MILLIS + stretched(grant.holdMillis()));
+      surelyUntil = Math.max(surelyUntil, grant.sentMillis() + grant.holdMillis());
     }
   }
 
@@ -106,6 +111,11 @@
     return Math.max(openUntil, Math.max(answeredUntil, unansweredUntil));
   }
 
+  /** Returns whether an answered grant surely lasts, unless the upstream has ended. */
+  boolean surelyHeld(long nowMillis) {
+    return nowMillis < surelyUntil;
+  }
+
   /** Returns the time after which no unanswered grant can still take effect. */
   long unansweredUntil() {
     return unansweredUntil;
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -64,7 +64,7 @@
   private final Map<Long, OwnedRange> orders = new HashMap<>();
   private final List<KeyEffect> out = new ArrayList<>();
 
-  private List<OwnedRange> ranges = List.of();
+  private OwnedRanges ranges = OwnedRanges.none();
   private TableProposal proposed = TableProposal.none();
   private boolean loaded;
   private boolean storeBusy;
@@ -117,37 +117,45 @@
     return loaded;
   }
 
-  /** Returns the owner that holds a key, or empty while the key changes its owner. */
-  public Optional<UpstreamId> holder(int key) {
-    return ranges.stream()
-        .filter(range -> range.range().contains(key))
-        .filter(range -> range.phase() == Phase.HELD)
-        .map(range -> range.assignment().owner().life().id())
-        .findFirst();
+  /**
+   * Returns the owner that surely holds a key, or empty while the key changes its owner or the
+   * owner's grant has not been confirmed in this term.
+   */
+  public Optional<UpstreamId> holder(long nowMillis, int key) {
+    return ranges
+        .at(key)
+        .filter(range -> range.surelyHeld(nowMillis))
+        .map(range -> range.assignment().owner())
+        .filter(owner -> !catalog.ended(owner.life(), owner.address()))
+        .map(owner -> owner.life().id());
+  }
+
+  /** Returns the upstream to which a key is assigned, whether or not it holds it yet. */
+  public Optional<UpstreamId> owner(int key) {
+    return ranges.at(key).map(range -> range.assignment().owner().life().id());
   }
 
   /** Returns the fencing token of a key's owner; zero if there is none. */
   public long fence(int key) {
-    return ranges.stream()
-        .filter(range -> range.range().contains(key))
-        .mapToLong(range -> range.assignment().owner().fence())
-        .findFirst()
-        .orElse(0);
+    return ranges.at(key).map(range -> range.assignment().owner().fence()).orElse(0L);
   }
 
   /** Returns when a key will probably have a holder; {@code nowMillis} if it has one. */
   public long readyMillis(long nowMillis, int key) {
-    return ranges.stream()
-        .filter(range -> range.range().contains(key))
-        .mapToLong(range -> readyMillis(nowMillis, range))
-        .findFirst()
+    return ranges
+        .at(key)
+        .map(range -> readyMillis(nowMillis, range))
         .orElse(nowMillis + HAND_OVER_MILLIS);
   }
 
   private long readyMillis(long nowMillis, OwnedRange range) {
+    if (range.surelyHeld(nowMillis)) {
+      return nowMillis;
+    }
+    long soon = nowMillis + HAND_OVER_MILLIS;
     if (range.phase() == Phase.HELD) {
       boolean lost = contact.suspect(nowMillis, range.assignment().owner().life());
-      return lost ? Math.max(nowMillis, range.owner().endsBy()) : nowMillis;
+      return lost ? Math.max(soon, range.owner().endsBy()) : soon;
     }
     boolean silent =
         range.phase() == Phase.RELEASING
@@ -156,7 +164,7 @@
                 .previous()
                 .filter(previous -> contact.suspect(nowMillis, previous.life()))
                 .isPresent();
-    return silent ? range.previous().endsBy() : nowMillis + HAND_OVER_MILLIS;
+    return silent ? Math.max(soon, range.previous().endsBy()) : soon;
   }
 
   /** Returns all assignments, sorted by range. */
@@ -177,7 +185,7 @@
     }
     List<KeyOwner> owners = ranges.stream().map(r -> r.assignment().owner()).toList();
     cutOff.note(nowMillis, owners, contact);
-    ranges.forEach(range -> advance(nowMillis, range, storeDoubtful));
+    ranges.all().forEach(range -> advance(nowMillis, range, storeDoubtful));
     if (!storeBusy && nowMillis >= storeDueMillis && nowMillis >= planDueMillis) {
       planDueMillis = nowMillis + PLAN_MILLIS;
       plan(nowMillis);
@@ -208,7 +216,7 @@
       version = written.version();
       nextFence = proposed.table().nextFence();
       unsettled = false;
-      ranges = proposed.apply();
+      ranges = OwnedRanges.of(proposed.apply());
       revision++;
     } else if (result instanceof TableWrite.Unsettled) {
       storeDueMillis = nowMillis + STORE_RETRY_MILLIS;
@@ -272,19 +280,20 @@
     // A table that another coordinator wrote late may name owners that were renewed meanwhile.
     long grantedUntil = loaded ? GrantClock.longest(nowMillis, holdMaxMillis) : inheritedUntil;
     if (loaded && proposed.table().equals(table)) {
-      ranges = proposed.apply();
+      ranges = OwnedRanges.of(proposed.apply());
     } else {
       ranges =
-          table.assignments().stream()
-              .map(
-                  assignment ->
-                      known.getOrDefault(
-                          assignment, OwnedRange.inherited(assignment, grantedUntil)))
-              .collect(Collectors.toList());
+          OwnedRanges.of(
+              table.assignments().stream()
+                  .map(
+                      assignment ->
+                          known.getOrDefault(
+                              assignment, OwnedRange.inherited(assignment, grantedUntil)))
+                  .toList());
     }
     loaded = true;
     revision++;
-    note("keys-loaded", "version " + version, ranges.size() + " ranges");
+    note("keys-loaded", "version " + version, ranges.all().size() + " ranges");
   }
 
   private void advance(long nowMillis, OwnedRange range, boolean storeDoubtful) {
@@ -395,7 +404,7 @@
     if (fit.isEmpty()) {
       return;
     }
-    if (ranges.isEmpty()) {
+    if (ranges.all().isEmpty()) {
       proposeFirst(nowMillis, fit);
       return;
     }
@@ -454,7 +463,7 @@
 
   private void propose(List<KeyMove> moves) {
     ranges.stream().filter(range -> range.phase() == Phase.HELD).forEach(OwnedRange::settle);
-    proposed = TableProposal.moving(ranges, moves, nextFence);
+    proposed = TableProposal.moving(ranges.all(), moves, nextFence);
     moves.forEach(
         move -> note("keys-move", move.range() + " to " + move.target().id(), move.reason()));
     write("keys-write", moves.size() + " moves");
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
@@ -104,6 +104,11 @@
     return phase;
   }
 
+  /** Returns whether the owner confirmed a grant in this term that still lasts. */
+  boolean surelyHeld(long nowMillis) {
+    return phase == Phase.HELD && owner.surelyHeld(nowMillis);
+  }
+
   GrantClock owner() {
     return owner;
   }
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRanges.java
@@ -0,0 +1,44 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/** All ranges of one service, found by key; immutable, while the ranges themselves change. */
+final class OwnedRanges {
+  private static final OwnedRanges NONE = of(List.of());
+
+  private final List<OwnedRange> ranges;
+  private final NavigableMap<Integer, OwnedRange> byFirstKey = new TreeMap<>();
+
+  private OwnedRanges(List<OwnedRange> ranges) {
+    this.ranges = ranges;
+    ranges.forEach(range -> byFirstKey.put(range.range().first(), range));
+  }
+
+  static OwnedRanges none() {
+    return NONE;
+  }
+
+  /** Returns ranges that share no key. */
+  static OwnedRanges of(List<OwnedRange> ranges) {
+    return new OwnedRanges(List.copyOf(ranges));
+  }
+
+  List<OwnedRange> all() {
+    return ranges;
+  }
+
+  Stream<OwnedRange> stream() {
+    return ranges.stream();
+  }
+
+  /** Returns the range that contains a key, or empty if the key never had an owner. */
+  Optional<OwnedRange> at(int key) {
+    return Optional.ofNullable(byFirstKey.floorEntry(key))
+        .map(entry -> entry.getValue())
+        .filter(range -> range.range().contains(key));
+  }
+}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -243,8 +243,13 @@
 
   private final class Owners implements KeyLookup {
     @Override
-    public Optional<UpstreamId> holder(ServiceId service, int key) {
-      return Optional.ofNullable(keyed.get(service)).flatMap(owners -> owners.holder(key));
+    public Optional<UpstreamId> holder(long now, ServiceId service, int key) {
+      return Optional.ofNullable(keyed.get(service)).flatMap(owners -> owners.holder(now, key));
+    }
+
+    @Override
+    public Optional<UpstreamId> owner(ServiceId service, int key) {
+      return Optional.ofNullable(keyed.get(service)).flatMap(owners -> owners.owner(key));
     }
 
     @Override
@@ -253,7 +258,7 @@
     }
 
     @Override
-    public long readyMillis(ServiceId service, int key, long now) {
+    public long readyMillis(long now, ServiceId service, int key) {
       return Optional.ofNullable(keyed.get(service))
           .map(owners -> owners.readyMillis(now, key))
           .orElse(now);
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/Backlog.java
@@ -0,0 +1,20 @@
+package dev.hornbeamwheel.core.host.slots;
+
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** How many asks of one service wait ahead, for each upstream that alone can serve them. */
+final class Backlog {
+  private final Map<Optional<UpstreamId>, Integer> asks = new HashMap<>();
+
+  /** Adds an ask; {@code server} is empty if any upstream can serve it. */
+  void add(Optional<UpstreamId> server) {
+    asks.merge(server, 1, Integer::sum);
+  }
+
+  int ahead(Optional<UpstreamId> server) {
+    return asks.getOrDefault(server, 0);
+  }
+}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Hands out the slots of all upstreams, late and in one place.
@@ -58,7 +59,7 @@
     queue.arrived(nowMillis);
     queue.waiting().add(ask);
     serve(nowMillis, ask.service());
-    refuseHopeless(nowMillis, ask.service(), List.of(ask));
+    refuseHopeless(nowMillis, ask.service(), ask::equals);
     return drain();
   }
 
@@ -120,7 +121,7 @@
         .forEach(
             service -> {
               serve(nowMillis, service);
-              refuseHopeless(nowMillis, service, queue(service).inOrder(nowMillis));
+              refuseHopeless(nowMillis, service, waiting -> true);
             });
     return drain();
   }
@@ -163,7 +164,7 @@
   }
 
   private Optional<UpstreamEntry> owner(long nowMillis, Ask ask) {
-    return keys.holder(ask.service(), ask.key().orElseThrow())
+    return keys.holder(nowMillis, ask.service(), ask.key().orElseThrow())
         .flatMap(catalog::upstream)
         .filter(entry -> free(nowMillis, entry));
   }
@@ -187,17 +188,19 @@
     out.add(new SlotEffect.Give(ask.ticket(), entry.id(), fence));
   }
 
-  private void refuseHopeless(long nowMillis, ServiceId service, List<Ask> asks) {
+  /** Refuses the asks, among those that wait, that will probably get no slot in time. */
+  private void refuseHopeless(long nowMillis, ServiceId service, Predicate<Ask> among) {
     ServiceQueue queue = queue(service);
-    asks.stream()
-        .filter(queue.waiting()::contains)
-        .forEach(
-            ask -> {
-              long start = expectedStart(nowMillis, queue, ask);
-              if (start + queue.runMillis() * LEAST_RUN_PART > ask.deadlineMillis()) {
-                refuse(nowMillis, queue, ask, start);
-              }
-            });
+    Backlog backlog = new Backlog();
+    for (Ask ask : queue.inOrder(nowMillis)) {
+      Optional<UpstreamId> server = keyOwner(ask);
+      long start = among.test(ask) ? expectedStart(nowMillis, queue, ask, server, backlog) : 0;
+      if (start + queue.runMillis() * LEAST_RUN_PART > ask.deadlineMillis()) {
+        refuse(nowMillis, queue, ask, start);
+      } else {
+        backlog.add(server);
+      }
+    }
   }
 
   private void refuse(long nowMillis, ServiceQueue queue, Ask ask, long startMillis) {
@@ -211,50 +214,40 @@
     out.add(new SlotEffect.Refuse(ask.ticket(), retryAfter, reason));
   }
 
-  /** Returns when an ask that waits will probably get a slot. */
-  private long expectedStart(long nowMillis, ServiceQueue queue, Ask ask) {
+  /** Returns when an ask that waits behind a backlog will probably get a slot. */
+  private long expectedStart(
+      long nowMillis, ServiceQueue queue, Ask ask, Optional<UpstreamId> server, Backlog backlog) {
     double throughput = throughput(nowMillis, ask);
-    boolean onTime = queue.onTime(ask, nowMillis);
-    if (!onTime && ask.key().isEmpty()) {
+    if (ask.key().isEmpty() && !queue.onTime(ask, nowMillis)) {
       // Requests that come later and can be on time go first.
       throughput -= 0.8 * queue.arrivalsPerSecond(nowMillis);
     }
     if (throughput <= 0.1) {
       return Long.MAX_VALUE / 4;
     }
-    long ahead =
-        queue.inOrder(nowMillis).stream()
-            .takeWhile(other -> !other.ticket().equals(ask.ticket()))
-            .filter(other -> competes(other, ask))
-            .count();
-    long start = nowMillis + Math.round((ahead + 0.5) * 1_000 / throughput);
-    if (ask.key().isPresent()) {
-      start = Math.max(start, ownerReady(nowMillis, ask));
-    }
-    return start;
+    long wait = Math.round((backlog.ahead(server) + 0.5) * 1_000 / throughput);
+    return ask.key().isEmpty()
+        ? nowMillis + wait
+        : Math.max(nowMillis + wait, ownerReady(nowMillis, ask));
   }
 
   private long ownerReady(long nowMillis, Ask ask) {
-    int key = ask.key().orElseThrow();
-    long held = keys.readyMillis(ask.service(), key, nowMillis);
-    return keys.holder(ask.service(), key)
+    long held = keys.readyMillis(nowMillis, ask.service(), ask.key().orElseThrow());
+    return keyOwner(ask)
         .map(loads::get)
         .map(load -> Math.max(held, load.pausedUntil()))
         .orElse(held);
   }
 
-  private boolean competes(Ask other, Ask ask) {
-    if (ask.key().isEmpty() || other.key().isEmpty()) {
-      return true;
-    }
-    return keys.holder(ask.service(), ask.key().getAsInt())
-        .equals(keys.holder(other.service(), other.key().getAsInt()));
+  /** Returns the upstream that alone can serve an ask, or empty for one without a key. */
+  private Optional<UpstreamId> keyOwner(Ask ask) {
+    return ask.key().isEmpty() ? Optional.empty() : keys.owner(ask.service(), ask.key().getAsInt());
   }
 
   /** Returns the requests a second that can be served of those that compete with an ask. */
   private double throughput(long nowMillis, Ask ask) {
     if (ask.key().isPresent()) {
-      return keys.holder(ask.service(), ask.key().getAsInt())
+      return keyOwner(ask)
           .flatMap(catalog::upstream)
           .map(entry -> requestsPerSecond(nowMillis, entry))
           .orElseGet(() -> 2_000 / queue(ask.service()).runMillis());
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyWorld.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyWorld.java
@@ -108,6 +108,21 @@
     service.upstreamsChanged();
   }
 
+  /** All hosts are lost for a time; then a new term starts. */
+  void loseAllHosts(long millis) {
+    term++;
+    pass(millis);
+    newTerm();
+  }
+
+  /** Returns how many probed keys have a holder, by the coordinator, that does not hold them. */
+  long wrongHolders() {
+    return IntStream.of(PROBED_KEYS)
+        .filter(key -> service.holder(nowMillis, key).isPresent())
+        .filter(key -> all.stream().noneMatch(holder -> holder.holds(nowMillis, key)))
+        .count();
+  }
+
   /** The coordinator is lost; when its lease and its last calls have ended, a term starts. */
   int replaceCoordinator() {
     term++;
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceTest.java
@@ -146,4 +146,20 @@
     assertThat(world.heldPart()).isEqualTo(1);
     assertThat(world.moves).isZero();
   }
+
+  @Test
+  void noRequestGoesToAnOwnerWhoseGrantLapsedWhileAllHostsWereLost() {
+    KeyWorld world = new KeyWorld(UPSTREAMS, 9);
+    world.run(5_000);
+    world.loseAllHosts(10_000);
+
+    long wrong = 0;
+    for (int i = 0; i < 100; i++) {
+      world.run(10);
+      wrong = Math.max(wrong, world.wrongHolders());
+    }
+
+    assertThat(wrong).isZero();
+    assertThat(world.heldPart()).isEqualTo(1);
+  }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerTest.java
@@ -50,7 +50,12 @@
 
   private static final class SingleOwner implements KeyLookup {
     @Override
-    public Optional<UpstreamId> holder(ServiceId service, int key) {
+    public Optional<UpstreamId> holder(long nowMillis, ServiceId service, int key) {
+      return Optional.of(UpstreamId.of("i-ledger"));
+    }
+
+    @Override
+    public Optional<UpstreamId> owner(ServiceId service, int key) {
       return Optional.of(UpstreamId.of("i-ledger"));
     }
 
@@ -60,7 +65,7 @@
     }
 
     @Override
-    public long readyMillis(ServiceId service, int key, long nowMillis) {
+    public long readyMillis(long nowMillis, ServiceId service, int key) {
       return nowMillis;
     }
   }
