Spread busy keys within a second of their first requests

Busy keys change every 4 to 5 s, but demand was taken over 6 s and looked at every 400 ms, so most of a burst had passed before its keys were spread.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyDemand.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyDemand.java
@@ -8,7 +8,7 @@
 /** How many requests a second the keys of one service got lately. */
 public final class KeyDemand {
   /** Span over which requests are counted, in milliseconds. */
-  static final long WINDOW_MILLIS = 6_000;
+  static final long WINDOW_MILLIS = 2_000;
 
   /** Most requests that are remembered. */
   private static final int MAX_SAMPLES = 4_000;
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyPlanner.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyPlanner.java
@@ -23,7 +23,7 @@
   static final double RELIEVE_ABOVE = 0.6;
 
   /** Least difference of utilisation between two upstreams that is worth a move. */
-  static final double LEAST_DIFFERENCE = 0.3;
+  static final double LEAST_DIFFERENCE = 0.45;
 
   /** Most moves between owners that are both fit, in one plan. */
   private static final int MAX_BALANCING_MOVES = 4;
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -46,7 +46,7 @@
   private static final long HAND_OVER_MILLIS = 150;
 
   /** Time between two looks at where keys belong, in milliseconds. */
-  static final long PLAN_MILLIS = 400;
+  static final long PLAN_MILLIS = 200;
 
   /** Pause before a table is read or written again after a failure, in milliseconds. */
   private static final long STORE_RETRY_MILLIS = 200;
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyWorld.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyWorld.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.ToLongFunction;
 import java.util.stream.IntStream;
 
 /** One keyed service, its upstreams and the store, in virtual time and with faults. */
@@ -49,6 +50,15 @@
   boolean storeAway;
   int moves;
 
+  /** What an upstream can do, for the planner. */
+  Capacity capacity = entry -> 10;
+
+  /** How long the work on keys that are released still runs, in milliseconds. */
+  ToLongFunction<KeyEffect.Release> workLeft = release -> 0;
+
+  /** Runs before each step. */
+  Runnable beforeStep = () -> {};
+
   KeyWorld(int upstreams, long seed) {
     this.random = new Random(seed);
     catalog.configure(
@@ -133,7 +143,13 @@
 
   private void newTerm() {
     service =
-        KeyedService.startTerm(nowMillis, SERVICE, catalog, entry -> 10, demand, HOLD_MAX_MILLIS);
+        KeyedService.startTerm(
+            nowMillis,
+            SERVICE,
+            catalog,
+            entry -> capacity.requestsPerSecond(entry),
+            demand,
+            HOLD_MAX_MILLIS);
   }
 
   KeyedService service() {
@@ -145,6 +161,7 @@
     int most = 0;
     for (long end = nowMillis + millis; nowMillis < end; nowMillis += STEP_MILLIS) {
       carryOutDue();
+      beforeStep.run();
       perform(service.tick(nowMillis, storeAway));
       most = Math.max(most, holders());
     }
@@ -180,10 +197,16 @@
             grant.order(),
             grant.address(),
             700,
+            0,
             holder -> holder.grant(nowMillis, nowMillis, grant));
       } else if (effect instanceof KeyEffect.Release release) {
         order(
-            sentTerm, release.order(), release.address(), 3_000, holder -> holder.release(release));
+            sentTerm,
+            release.order(),
+            release.address(),
+            3_000,
+            workLeft.applyAsLong(release),
+            holder -> holder.release(release));
       } else if (effect instanceof KeyEffect.Note note && note.decision().equals("keys-move")) {
         moves++;
       }
@@ -225,7 +248,8 @@
     OrderResult carryOut(FakeKeyHolder holder);
   }
 
-  private void order(long sentTerm, long number, Address address, int timeout, Order order) {
+  private void order(
+      long sentTerm, long number, Address address, int timeout, long extraDelay, Order order) {
     boolean lost = random.nextDouble() < lossRate;
     later(
         delay(),
@@ -236,7 +260,7 @@
           boolean answered = reached && !lost;
           OrderResult told = answered ? result : new OrderResult.Unanswered("no answer");
           later(
-              answered ? delay() : (long) timeout,
+              answered ? delay() + extraDelay : (long) timeout,
               () -> inTerm(sentTerm, () -> service.orderEnded(nowMillis, number, told)));
         });
   }
@@ -259,7 +283,7 @@
     return 1 + random.nextInt(8);
   }
 
-  private void later(long afterMillis, Runnable run) {
+  void later(long afterMillis, Runnable run) {
     tasks.add(new Task(nowMillis + afterMillis, order++, run));
   }
 }
