Refuse at once what a crowded service cannot serve in time

An ask that could not be on time any more stayed in the queue behind all later ones until its deadline was near. Change: while more is asked of a service than 0.7 of what its upstreams can serve, the start of an ask that will be late is estimated behind the asks that come after it, as it was for services without keys already. Else busy keys are about to be spread, and waiting pays. Test: KeyLoadTest.mostOfWhatAnOverloadedServiceCannotServeIsRefusedAtOnce.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/Backlog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/Backlog.java
@@ -8,6 +8,20 @@
 /** How many asks of one service wait ahead, for each upstream that alone can serve them. */
 final class Backlog {
   private final Map<Optional<UpstreamId>, Integer> asks = new HashMap<>();
+  private final boolean serviceCrowded;
+
+  /**
+   * Creates an empty backlog.
+   *
+   * @param serviceCrowded whether the upstreams of the service have too little room altogether
+   */
+  Backlog(boolean serviceCrowded) {
+    this.serviceCrowded = serviceCrowded;
+  }
+
+  boolean serviceCrowded() {
+    return serviceCrowded;
+  }
 
   /** Adds an ask; {@code server} is empty if any upstream can serve it. */
   void add(Optional<UpstreamId> server) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/ServiceQueue.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/ServiceQueue.java
@@ -1,9 +1,13 @@
 package dev.hornbeamwheel.core.host.slots;
 
+import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /** The asks of one service that wait for a slot, and how fast such asks come and go. */
 final class ServiceQueue {
@@ -13,13 +17,10 @@
   /** Weight of the newest run time in the mean of the service. */
   private static final double RUN_WEIGHT = 0.05;
 
-  /** Time constant of the arrival rate, in milliseconds. */
-  private static final double ARRIVAL_SPAN_MILLIS = 2_000;
-
   private final List<Ask> waiting = new ArrayList<>();
+  private final Arrivals allArrivals = new Arrivals();
   private double runMillis = FIRST_RUN_MILLIS;
-  private double arrivals;
-  private long arrivalsMillis;
+  private final Map<Optional<UpstreamId>, Arrivals> arrivals = new HashMap<>();
   private long lastReturnMillis;
 
   List<Ask> waiting() {
@@ -34,20 +35,27 @@
     runMillis += RUN_WEIGHT * (ranMillis - runMillis);
   }
 
-  void arrived(long nowMillis) {
-    decayArrivals(nowMillis);
-    arrivals += 1;
+  /** Counts an ask; {@code server} is the only upstream that can serve it, or empty. */
+  void arrived(long nowMillis, Optional<UpstreamId> server) {
+    arrivals.computeIfAbsent(server, id -> new Arrivals()).add(nowMillis);
+    allArrivals.add(nowMillis);
   }
 
   /** Returns the asks a second of late. */
   double arrivalsPerSecond(long nowMillis) {
-    decayArrivals(nowMillis);
-    return arrivals * 1_000 / ARRIVAL_SPAN_MILLIS;
+    return allArrivals.perSecond(nowMillis);
+  }
+
+  /** Returns the asks a second of late that only {@code server} can serve. */
+  double arrivalsPerSecond(long nowMillis, Optional<UpstreamId> server) {
+    return Optional.ofNullable(arrivals.get(server))
+        .map(counted -> counted.perSecond(nowMillis))
+        .orElse(0.0);
   }
 
-  private void decayArrivals(long nowMillis) {
-    arrivals *= Math.exp(-(nowMillis - arrivalsMillis) / ARRIVAL_SPAN_MILLIS);
-    arrivalsMillis = nowMillis;
+  /** Forgets arrivals for upstreams that are gone. */
+  void forgetArrivals(Predicate<UpstreamId> gone) {
+    arrivals.keySet().removeIf(server -> server.filter(gone).isPresent());
   }
 
   /** Returns whether an ask can still be answered within its latency target. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -37,6 +37,15 @@
   /** Part of the mean run time that must be left before the deadline. */
   private static final double LEAST_RUN_PART = 0.7;
 
+  /** Part of the asks that come later and go before one that cannot be on time any more. */
+  private static final double LATER_PART = 0.8;
+
+  /** Part of what all upstreams can serve above which busy keys cannot be relieved. */
+  private static final double CROWDED_PART = 0.7;
+
+  /** Rate below which nothing is expected to be served, in requests a second. */
+  private static final double LEAST_PER_SECOND = 0.1;
+
   private final Catalog catalog;
   private final KeyLookup keys;
   private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
@@ -56,7 +65,7 @@
   /** Takes an ask; it is answered now or later. */
   public List<SlotEffect> ask(long nowMillis, Ask ask) {
     ServiceQueue queue = queue(ask.service());
-    queue.arrived(nowMillis);
+    queue.arrived(nowMillis, keyOwner(ask));
     queue.waiting().add(ask);
     serve(nowMillis, ask.service());
     refuseHopeless(nowMillis, ask.service(), ask::equals);
@@ -117,6 +126,7 @@
   /** Hands out slots that became free by time, and refuses what can no longer be served. */
   public List<SlotEffect> tick(long nowMillis) {
     loads.keySet().removeIf(id -> catalog.upstream(id).isEmpty());
+    queues.values().forEach(queue -> queue.forgetArrivals(id -> catalog.upstream(id).isEmpty()));
     List.copyOf(queues.keySet())
         .forEach(
             service -> {
@@ -191,7 +201,7 @@
   /** Refuses the asks, among those that wait, that will probably get no slot in time. */
   private void refuseHopeless(long nowMillis, ServiceId service, Predicate<Ask> among) {
     ServiceQueue queue = queue(service);
-    Backlog backlog = new Backlog();
+    Backlog backlog = new Backlog(crowded(nowMillis, service));
     for (Ask ask : queue.inOrder(nowMillis)) {
       Optional<UpstreamId> server = keyOwner(ask);
       long start = among.test(ask) ? expectedStart(nowMillis, queue, ask, server, backlog) : 0;
@@ -218,17 +228,26 @@
   private long expectedStart(
       long nowMillis, ServiceQueue queue, Ask ask, Optional<UpstreamId> server, Backlog backlog) {
     double throughput = throughput(nowMillis, ask);
-    if (ask.key().isEmpty() && !queue.onTime(ask, nowMillis)) {
+    long start = startBehind(nowMillis, backlog.ahead(server), throughput);
+    boolean relieved = ask.key().isPresent() && !backlog.serviceCrowded();
+    if (!queue.onTime(ask, start) && !relieved) {
       // Requests that come later and can be on time go first.
-      throughput -= 0.8 * queue.arrivalsPerSecond(nowMillis);
+      double later = LATER_PART * queue.arrivalsPerSecond(nowMillis, server);
+      start = startBehind(nowMillis, backlog.ahead(server), throughput - later);
     }
-    if (throughput <= 0.1) {
-      return Long.MAX_VALUE / 4;
-    }
-    long wait = Math.round((backlog.ahead(server) + 0.5) * 1_000 / throughput);
-    return ask.key().isEmpty()
-        ? nowMillis + wait
-        : Math.max(nowMillis + wait, ownerReady(nowMillis, ask));
+    return ask.key().isEmpty() ? start : Math.max(start, ownerReady(nowMillis, ask));
+  }
+
+  /** Returns whether more is asked of a service than all its upstreams together can well serve. */
+  private boolean crowded(long nowMillis, ServiceId service) {
+    return queue(service).arrivalsPerSecond(nowMillis)
+        > CROWDED_PART * throughput(nowMillis, service);
+  }
+
+  private static long startBehind(long nowMillis, int ahead, double perSecond) {
+    return perSecond <= LEAST_PER_SECOND
+        ? Long.MAX_VALUE / 4
+        : nowMillis + Math.round((ahead + 0.5) * 1_000 / perSecond);
   }
 
   private long ownerReady(long nowMillis, Ask ask) {
@@ -252,7 +271,11 @@
           .map(entry -> requestsPerSecond(nowMillis, entry))
           .orElseGet(() -> 2_000 / queue(ask.service()).runMillis());
     }
-    return catalog.usable(ask.service()).stream()
+    return throughput(nowMillis, ask.service());
+  }
+
+  private double throughput(long nowMillis, ServiceId service) {
+    return catalog.usable(service).stream()
         .filter(entry -> nowMillis >= load(entry).pausedUntil())
         .mapToDouble(entry -> requestsPerSecond(nowMillis, entry))
         .sum();
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyLoadTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyLoadTest.java
@@ -12,6 +12,9 @@
   private static final int SEEDS = 8;
   private static final double REQUESTS_PER_SECOND = 75;
 
+  /** A third more than the upstreams can serve. */
+  private static final double OVERLOAD_PER_SECOND = 260;
+
   /** What busy keys may take from the part that is answered on time. */
   private static final double HOT_KEYS_COST = 0.1;
 
@@ -47,4 +50,16 @@
 
     assertThat(hot).isGreaterThan(evenLoad() - HOT_KEYS_COST);
   }
+
+  @Test
+  void mostOfWhatAnOverloadedServiceCannotServeIsRefusedAtOnce() {
+    double atOnce =
+        mean(
+            load -> {
+              load.load(OVERLOAD_PER_SECOND, load.even(), 12_000);
+              return load.refusedAtOnce / (double) load.refused;
+            });
+
+    assertThat(atOnce).isGreaterThan(0.5);
+  }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyLoadWorld.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyLoadWorld.java
@@ -31,6 +31,7 @@
   private static final double MOST_MILLIS = 1_600;
   private static final double STEP_SECONDS = 0.01;
   private static final int TARGET_MILLIS = 600;
+  private static final int AT_ONCE_MILLIS = TARGET_MILLIS / 8;
   private static final int DEADLINE_MILLIS = 1_200;
 
   private record Running(int key, long endsMillis) {}
@@ -48,6 +49,7 @@
   int onTime;
   int late;
   int refused;
+  int refusedAtOnce;
   int misdirected;
 
   KeyLoadWorld(int upstreams, long seed) {
@@ -78,6 +80,7 @@
     onTime = 0;
     late = 0;
     refused = 0;
+    refusedAtOnce = 0;
     misdirected = 0;
     perSecond = requestsPerSecond;
     keys = requestKeys;
@@ -125,6 +128,7 @@
             run(ask, give.upstream());
           } else {
             refused++;
+            refusedAtOnce += world.nowMillis - ask.arrivedMillis() <= AT_ONCE_MILLIS ? 1 : 0;
           }
         });
   }
