Refuse a body that is too long in the order of the requests, and test bad input

Cause: the aggregator answered 413 by itself, at once. Behind an earlier request on the same connection that answer went out before the earlier one's, and the connection stayed open. Found by MalformedRequestTest (timed out waiting for the end of the connection). Change: RequestAggregator reports it to the connection, which answers what came before and closes. Also: HostServerTest took 154 s, since the store stand-in waited for its open watches (up to 20 s each) at its end; it ends them first.

--- a/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
@@ -22,7 +22,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
@@ -131,7 +130,10 @@
         .addLast(new StrictRequestDecoder(current.headerBytes()))
         .addLast(timer.parts())
         .addLast(new HttpResponseEncoder())
-        .addLast(new HttpObjectAggregator(current.bodyBytes()))
+        .addLast(
+            new RequestAggregator(
+                current.bodyBytes(),
+                () -> connection.refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)))
         .addLast(connection);
   }
 
--- /dev/null
+++ b/host/src/test/java/dev/hornbeamwheel/host/MalformedRequestTest.java
@@ -0,0 +1,113 @@
+package dev.hornbeamwheel.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Requests that could be read in two ways, or never end: refused, and run nowhere. */
+final class MalformedRequestTest {
+  private static final Duration START = Duration.ofSeconds(20);
+  private static final int READ_MILLIS = 8_000;
+  private static final String HEADERS =
+      """
+      Host: 127.0.0.1\r
+      X-Hornbeamwheel-Request-Attempt-Id: 9c41d07be2a35f68\r
+      X-Hornbeamwheel-Deadline-Milliseconds: 2500\r
+      """;
+  private static final String SECOND_REQUEST =
+      "POST /order/9 HTTP/1.1\r\n" + HEADERS + "Content-Length: 0\r\n\r\n";
+
+  private static SiteFixture site;
+
+  @BeforeAll
+  static void start() throws Exception {
+    site = new SiteFixture(1);
+    assertThat(site.awaitServing(0, START)).isTrue();
+  }
+
+  @AfterAll
+  static void stop() {
+    site.close();
+  }
+
+  private static void refused(String request, String statusLine) throws IOException {
+    int before = site.orderRuns();
+
+    String answer = send(request);
+
+    assertThat(answer).startsWith("HTTP/1.1 " + statusLine);
+    assertThat(answer.split("HTTP/1.1 ", -1)).as("one answer").hasSize(2);
+    assertThat(site.orderRuns()).isEqualTo(before);
+  }
+
+  /** Sends bytes and reads until the host closes the connection. */
+  private static String send(String request) throws IOException {
+    Address host = site.settings(0).callerAddress();
+    try (Socket socket = new Socket(host.host(), host.port())) {
+      socket.setSoTimeout(READ_MILLIS);
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  private static String order(String headers, String body) {
+    return "POST /order/1 HTTP/1.1\r\n" + HEADERS + headers + "\r\n" + body;
+  }
+
+  @Test
+  void twoLengths() throws IOException {
+    refused(order("Content-Length: 3\r\nContent-Length: 4\r\n", "abc" + SECOND_REQUEST), "400");
+  }
+
+  @Test
+  void lengthBesideChunks() throws IOException {
+    refused(
+        order("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n" + SECOND_REQUEST),
+        "400");
+  }
+
+  @Test
+  void chunksThatAreNotTheLastEncoding() throws IOException {
+    refused(order("Transfer-Encoding: chunked, gzip\r\n", "0\r\n\r\n" + SECOND_REQUEST), "400");
+  }
+
+  @Test
+  void bareLineEnds() throws IOException {
+    refused(order("X-Note: a\nContent-Length: 0\r\n", SECOND_REQUEST), "400");
+  }
+
+  @Test
+  void spaceBeforeTheColon() throws IOException {
+    refused(order("Content-Length : 3\r\n", "abc" + SECOND_REQUEST), "400");
+  }
+
+  @Test
+  void headersThatAreTooLong() throws IOException {
+    refused(order("X-Note: " + "a".repeat(20_000) + "\r\n", ""), "431");
+  }
+
+  @Test
+  void aBodyThatIsTooLong() throws IOException {
+    refused(order("Content-Length: 99999999\r\n", ""), "413");
+  }
+
+  @Test
+  void aBodyThatIsTooLongBehindAGoodRequestEndsTheConnectionAfterItsAnswer() throws IOException {
+    String answers = send(SECOND_REQUEST + order("Content-Length: 99999999\r\n", ""));
+
+    assertThat(answers).startsWith("HTTP/1.1 200");
+    assertThat(answers.split("HTTP/1.1 ", -1)).as("one answer").hasSize(2);
+  }
+
+  @Test
+  void headersThatComeTooSlowly() throws IOException {
+    refused("POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n", "408");
+  }
+}
--- a/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
@@ -3,6 +3,7 @@
 import dev.hornbeamwheel.core.host.catalog.Address;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
+import dev.hornbeamwheel.standins.site.FaultyUpstreamStandin;
 import dev.hornbeamwheel.standins.site.KeyedUpstreamStandin;
 import dev.hornbeamwheel.standins.site.SiteCaller;
 import dev.hornbeamwheel.standins.site.StoreStandin;
@@ -46,6 +47,21 @@
     return upstream;
   }
 
+  /** Puts one upstream with damaged answers in the place of the pooled ones. */
+  FaultyUpstreamStandin replaceDesk() throws IOException {
+    FaultyUpstreamStandin upstream = FaultyUpstreamStandin.start();
+    for (int i = 0; i < desk.size(); i++) {
+      store.put("servers", "i-desk-" + i, desk.get(i).registration("desk", DATA_CENTRES[i], true));
+    }
+    store.put("servers", "i-desk-faulty", upstream.registration("desk", DATA_CENTRES[0]));
+    return upstream;
+  }
+
+  /** Returns how many orders the pooled upstreams have run. */
+  int orderRuns() {
+    return desk.stream().mapToInt(KeyedUpstreamStandin::runs).sum();
+  }
+
   /** Returns the settings file of a second host, which another process is to run. */
   String secondHostSettings() throws IOException {
     HostSettings own = newSettings(1);
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/StoreStandin.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/StoreStandin.java
@@ -102,6 +102,8 @@
 
   @Override
   public void close() {
+    // Watches that wait would hold up the end for as long as they may wait.
+    refuse(true);
     server.stop();
   }
 
