Add hornbeamwheelctl explain-request: a failed request's cause from log files

The command prints the lines of the request, what happened at its host, to its key's owner and at its upstream, and one sentence with the cause.

--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/Ctl.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/Ctl.java
@@ -55,6 +55,9 @@
       out.println("hornbeamwheelctl " + BuildVersion.read());
       return CtlExitCode.OK;
     }
+    if (parsed.command() instanceof CtlCommand.ExplainRequest request) {
+      return ExplainRequest.run(request.attemptId(), request.files(), out, err);
+    }
     try (HttpPlatform platform =
         HttpPlatform.connect(parsed.options().platform(), REQUEST_TIMEOUT)) {
       return carryOut(parsed.command(), context(platform, parsed.options()));
--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/CtlCommand.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/CtlCommand.java
@@ -5,6 +5,7 @@
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 
 /** What a command line asks for. */
@@ -34,6 +35,14 @@
   /** Show who owns a key, and why. */
   record Explain(ServiceId service, Key key) implements CtlCommand {}
 
+  /** Tell from log files what became of a request. */
+  record ExplainRequest(String attemptId, List<Path> files) implements CtlCommand {
+    /** Copies the list. */
+    public ExplainRequest {
+      files = List.copyOf(files);
+    }
+  }
+
   /** Take an upstream out of service. */
   record DrainUpstream(UpstreamId upstream) implements CtlCommand {}
 
--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/CtlCommandLine.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/CtlCommandLine.java
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -44,6 +45,7 @@
         apply DIR                     put the declarations in force
         status                        who owns, who is leaving, which version is in force where
         explain SERVICE KEY           who owns a key, and why
+        explain-request ID FILE...    what became of a request, from log files
         drain upstream|data-centre ID     take it out of service
         return upstream|data-centre ID    take it back into service
         declare-lost DATA-CENTRE      let others take over a data centre that is lost
@@ -125,6 +127,7 @@
       case "explain" ->
           new CtlCommand.Explain(
               ServiceId.of(argument(words, 1, 3, "SERVICE")), Key.of(argument(words, 2, 3, "KEY")));
+      case "explain-request" -> explainRequest(words);
       case "drain", "return" -> placed(name.equals("drain"), words);
       case "declare-lost" ->
           new CtlCommand.DeclareLost(DataCentreId.of(argument(words, 1, 2, "DATA-CENTRE")));
@@ -139,6 +142,13 @@
     return new CtlCommand.Status(json);
   }
 
+  private static CtlCommand explainRequest(List<String> words) {
+    String id = argument(words, 1, words.size(), "ID");
+    argument(words, 2, words.size(), "FILE");
+    return new CtlCommand.ExplainRequest(
+        id, words.stream().skip(2).map(Path::of).collect(Collectors.toList()));
+  }
+
   private static CtlCommand placed(boolean drain, List<String> words) {
     String kind = argument(words, 1, 3, "upstream|data-centre");
     String id = argument(words, 2, 3, "ID");
--- a/ctl/src/test/java/dev/hornbeamwheel/ctl/CtlCommandLineTest.java
+++ b/ctl/src/test/java/dev/hornbeamwheel/ctl/CtlCommandLineTest.java
@@ -32,6 +32,7 @@
         "apply a --planned twelve",
         "status now",
         "explain baymap",
+        "explain-request 9c41d07be2a35f68",
         "drain upstream",
         "drain planet mars",
         "--unknown status",
