--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/ExplainRequest.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/ExplainRequest.java
@@ -22,8 +22,9 @@
   private static final long NEAR_MILLIS = 1_000;
 
   private static final Pattern MOVE = Pattern.compile("(\\d+)-(\\d+) to .*");
-  private static final List<String> COORDINATION =
-      List.of("coordinator-lost", "coordinator-joined", "lease-lost", "lease-won", "store-away");
+  private static final List<String> LEASE = List.of("lease-lost", "lease-won");
+  private static final List<String> OF_ITS_HOST =
+      List.of("started", "coordinator-lost", "coordinator-joined", "store-away", "store-returned");
 
   private final String id;
   private final List<Path> files;
@@ -63,6 +64,7 @@
     printSection("at its host and coordinator, in the 5 s before", around(last));
     printSection("owners of its key, in the 5 s before", moves(last));
     printSection("other failed attempts at its upstream, within 1 s", neighbours(last));
+    printRefused(last);
     out.println("cause: " + cause(last));
     return CtlExitCode.OK;
   }
@@ -82,8 +84,8 @@
     return matching(
         line ->
             before(line, last)
-                && (COORDINATION.contains(line.event())
-                    || (line.host().equals(last.host()) && line.event().equals("started"))));
+                && (LEASE.contains(line.event())
+                    || (line.host().equals(last.host()) && OF_ITS_HOST.contains(line.event()))));
   }
 
   private List<LogLine> moves(LogLine last) throws IOException {
@@ -108,6 +110,22 @@
                     && Math.abs(line.atMillis() - last.atMillis()) <= NEAR_MILLIS);
   }
 
+  private void printRefused(LogLine last) throws IOException {
+    if (!last.event().equals("request-failed")) {
+      return;
+    }
+    long others =
+        matching(
+                line ->
+                    line.event().equals("request-failed")
+                        && line.text("service").equals(last.text("service"))
+                        && line.text("reason").equals(last.text("reason"))
+                        && Math.abs(line.atMillis() - last.atMillis()) <= NEAR_MILLIS)
+            .size();
+    out.println(
+        "requests of the service that failed for this reason, within 1 s, with it: " + others);
+  }
+
   private static boolean before(LogLine line, LogLine last) {
     return line.atMillis() <= last.atMillis() && line.atMillis() >= last.atMillis() - BEFORE_MILLIS;
   }
--- a/ctl/src/test/java/dev/hornbeamwheel/ctl/ExplainRequestTest.java
+++ b/ctl/src/test/java/dev/hornbeamwheel/ctl/ExplainRequestTest.java
@@ -45,7 +45,10 @@
 
     assertThat(code).isEqualTo(CtlExitCode.OK);
     assertThat(printed())
-        .contains("owner unfit", "cause: refused and not run: the key's owner has no room")
+        .contains(
+            "owner unfit",
+            "within 1 s, with it: 1",
+            "cause: refused and not run: the key's owner has no room")
         .doesNotContain("demand");
   }
 
