Split the log lines of requests and the fitness of owners from their reducers

RequestLog builds the lines and keeps what they need of the coordinator; OwnerFitness says who may own keys and who is to lose them. Code is moved, not changed, but for one thing: the line of a request without a route wrote the caller's Host header over the field host, which names the process; it is hostHeader now. Tests of both pass as they were.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -54,9 +53,6 @@
   /** Pause before a table is read or written again after a failure, in milliseconds. */
   private static final long STORE_RETRY_MILLIS = 200;
 
-  /** Keys of a data centre that is cut off stay there for so long, in milliseconds. */
-  static final long CUT_OFF_PATIENCE_MILLIS = 7_000;
-
   private final ServiceId service;
   private final Catalog catalog;
   private final Capacity capacity;
@@ -64,6 +60,7 @@
   private final KeyDemand demand;
   private final UpstreamContact contact = new UpstreamContact();
   private final CutOffDataCentres cutOff;
+  private final OwnerFitness fitness;
   private final Map<Long, OwnedRange> orders = new HashMap<>();
   private final List<KeyEffect> out = new ArrayList<>();
 
@@ -90,6 +87,7 @@
     this.demand = demand;
     this.holdMaxMillis = holdMaxMillis;
     this.cutOff = new CutOffDataCentres(catalog);
+    this.fitness = new OwnerFitness(catalog, contact, cutOff);
   }
 
   /**
@@ -404,7 +402,7 @@
   }
 
   private void plan(long nowMillis) {
-    List<UpstreamEntry> fit = fit(nowMillis);
+    List<UpstreamEntry> fit = fitness.fit(nowMillis, service);
     if (fit.isEmpty()) {
       return;
     }
@@ -415,13 +413,13 @@
     List<KeyPlanner.View> views =
         ranges.stream()
             .filter(range -> range.phase() != Phase.RELEASING)
-            .filter(range -> range.phase() == Phase.HELD || orphaned(nowMillis, range))
+            .filter(range -> range.phase() == Phase.HELD || fitness.orphaned(nowMillis, range))
             .map(
                 range ->
                     new KeyPlanner.View(
                         range.range(),
                         range.assignment().owner().life().id(),
-                        orphaned(nowMillis, range)))
+                        fitness.orphaned(nowMillis, range)))
             .toList();
     List<KeyMove> moves = KeyPlanner.plan(views, fit, demand, capacity);
     if (!moves.isEmpty() || unsettled) {
@@ -429,30 +427,6 @@
     }
   }
 
-  private List<UpstreamEntry> fit(long nowMillis) {
-    Predicate<UpstreamEntry> silent = entry -> contact.suspect(nowMillis, entry.life());
-    List<UpstreamEntry> usable = catalog.usable(service);
-    List<UpstreamEntry> answering = usable.stream().filter(silent.negate()).toList();
-    return answering.isEmpty() ? usable : answering;
-  }
-
-  private boolean orphaned(long nowMillis, OwnedRange range) {
-    KeyOwner owner = range.assignment().owner();
-    if (range.fenced() || catalog.ended(owner.life(), owner.address())) {
-      return true;
-    }
-    Optional<UpstreamEntry> entry = catalog.upstream(owner.life().id());
-    if (entry.isEmpty() || !catalog.usable(entry.get())) {
-      return true;
-    }
-    if (!contact.suspect(nowMillis, owner.life())) {
-      return false;
-    }
-    return cutOff.contains(owner)
-        ? cutOff.lastsFor(nowMillis, owner) > CUT_OFF_PATIENCE_MILLIS
-        : nowMillis > range.owner().endsBy() - PLAN_MILLIS;
-  }
-
   private void proposeFirst(long nowMillis, List<UpstreamEntry> fit) {
     if (fit.size() != joined) {
       joined = fit.size();
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/Flight.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/Flight.java
@@ -5,6 +5,7 @@
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.HashSet;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /** A request on its way; mutable, part of {@link RequestFlow}. */
@@ -56,6 +57,11 @@
     this.deadlineMillis = arrivedMillis + Math.min(head.deadlineMillis(), route.timeoutMillis());
   }
 
+  /** Returns the key, or empty if the service is not divided by key. */
+  OptionalInt key() {
+    return keyed ? head.key() : OptionalInt.empty();
+  }
+
   boolean repeatable() {
     return route.kind().repeatable();
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -6,7 +6,6 @@
 import dev.hornbeamwheel.core.host.catalog.Route;
 import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
 import dev.hornbeamwheel.core.host.catalog.UpstreamEntry;
-import dev.hornbeamwheel.core.host.log.LogEntry;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.ServiceId;
@@ -16,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Random;
 
 /**
@@ -43,13 +41,13 @@
   private final LocalChoice local;
   private final RetryBudget budget = new RetryBudget();
   private final WeightedTurns turns;
+  private final RequestLog log;
   private final Map<RequestRef, Flight> flights = new HashMap<>();
   private final Map<Long, Flight> asks = new HashMap<>();
   private final Map<String, Long> longestDeadline = new HashMap<>();
   private final List<RequestEffect> out = new ArrayList<>();
   private boolean coordinatorConnected;
   private long coordinatorHeardMillis = Long.MIN_VALUE / 2;
-  private long coordinatorTerm;
   private long nextAsk = 1;
 
   private RequestFlow(Catalog catalog, DataCentreId here, long seed) {
@@ -57,6 +55,7 @@
     this.catalog = catalog;
     this.local = new LocalChoice(catalog, here, random);
     this.turns = new WeightedTurns(random);
+    this.log = new RequestLog(catalog);
   }
 
   /**
@@ -186,6 +185,7 @@
   public List<RequestEffect> coordinatorConnected(long nowMillis) {
     coordinatorConnected = true;
     coordinatorHeardMillis = nowMillis;
+    log.coordinatorConnected(nowMillis);
     flights.values().stream()
         .filter(flight -> flight.stage == Flight.Stage.RUNNING)
         .forEach(
@@ -193,7 +193,7 @@
               flight.byCoordinator = true;
               out.add(
                   new RequestEffect.HoldSlot(
-                      flight.ask, flight.service, key(flight), flight.upstream.id()));
+                      flight.ask, flight.service, flight.key(), flight.upstream.id()));
             });
     return drain();
   }
@@ -209,7 +209,7 @@
   /** Notes that the coordinator was heard. */
   public void coordinatorHeard(long nowMillis, long term, int hosts) {
     coordinatorHeardMillis = nowMillis;
-    coordinatorTerm = term;
+    log.coordinatorHeard(nowMillis, term);
     local.hosts(hosts);
   }
 
@@ -268,7 +268,7 @@
         new RequestEffect.AskSlot(
             flight.ask,
             flight.service,
-            key(flight),
+            flight.key(),
             flight.route.priority(),
             flight.deadlineMillis - nowMillis,
             Math.max(0, flight.targetMillis - nowMillis),
@@ -276,10 +276,6 @@
             flight.avoid));
   }
 
-  private static OptionalInt key(Flight flight) {
-    return flight.keyed ? flight.head.key() : OptionalInt.empty();
-  }
-
   private void seekLocally(long nowMillis) {
     List<Flight> asking = List.copyOf(asks.values());
     asking.forEach(
@@ -291,7 +287,7 @@
 
   private void chooseLocally(long nowMillis, Flight flight) {
     Optional<UpstreamEntry> chosen =
-        local.choose(nowMillis, flight.service, key(flight), flight.avoid);
+        local.choose(nowMillis, flight.service, flight.key(), flight.avoid);
     if (chosen.isPresent()) {
       send(nowMillis, flight, chosen.get());
     } else {
@@ -342,7 +338,7 @@
               result.workPercent()));
     }
     if (result.completion() != Completion.SERVED) {
-      logAttempt(nowMillis, flight, result);
+      out.add(log.attemptFailed(nowMillis, flight, result));
     }
   }
 
@@ -405,12 +401,7 @@
       long nowMillis, Flight flight, OwnAnswer answer, long retryAfterMillis, String reason) {
     out.add(new RequestEffect.Answer(flight.ref, answer, retryAfterMillis));
     flights.remove(flight.ref);
-    out.add(
-        new RequestEffect.Log(
-            describe(LogEntry.failure("request-failed"), nowMillis, flight)
-                .with("answer", answer.name())
-                .with("retryAfterMillis", retryAfterMillis)
-                .with("reason", reason)));
+    out.add(log.failed(nowMillis, flight, answer, retryAfterMillis, reason));
   }
 
   private void finish(long nowMillis, Flight flight, String outcome) {
@@ -418,56 +409,13 @@
     if (flight.callerLeft) {
       out.add(new RequestEffect.Forget(flight.ref));
     }
-    out.add(
-        new RequestEffect.Log(
-            describe(LogEntry.of("request"), nowMillis, flight).with("outcome", outcome)));
+    out.add(log.ended(nowMillis, flight, outcome));
   }
 
   private void refuseUnrouted(RequestRef ref, RequestHead head, OwnAnswer answer) {
     long retryAfter = answer == OwnAnswer.NOT_READY ? DEFAULT_RETRY_MILLIS : 0;
     out.add(new RequestEffect.Answer(ref, answer, retryAfter));
-    out.add(
-        new RequestEffect.Log(
-            LogEntry.failure("request-failed")
-                .with("request", head.attemptId())
-                .with("host", head.host())
-                .with("path", head.path())
-                .with("configuration", version())
-                .with("answer", answer.name())));
-  }
-
-  private void logAttempt(long nowMillis, Flight flight, AttemptResult result) {
-    out.add(
-        new RequestEffect.Log(
-            describe(LogEntry.failure("attempt-failed"), nowMillis, flight)
-                .with("completion", result.completion().name())
-                .with("status", result.status())));
-  }
-
-  private LogEntry describe(LogEntry entry, long nowMillis, Flight flight) {
-    entry
-        .with("request", flight.head.attemptId())
-        .with("route", flight.route.name())
-        .with("service", flight.service.value())
-        .with("key", key(flight).orElse(-1))
-        .with("ageMillis", nowMillis - flight.arrivedMillis)
-        .with("leftMillis", flight.deadlineMillis - nowMillis)
-        .with("sends", flight.sends)
-        .with("configuration", version())
-        .with("chosenBy", flight.byCoordinator ? "coordinator" : "host")
-        .with("term", coordinatorTerm)
-        .with("coordinatorAgeMillis", Math.min(nowMillis - coordinatorHeardMillis, 1_000_000));
-    if (flight.upstream != null) {
-      entry
-          .with("upstream", flight.upstream.id().value())
-          .with("fence", flight.fence)
-          .with("waitedMillis", flight.startedMillis - flight.arrivedMillis);
-    }
-    return entry;
-  }
-
-  private long version() {
-    return catalog.configuration().map(FleetConfiguration::version).orElse(0L);
+    out.add(log.unrouted(head, answer));
   }
 
   private List<RequestEffect> drain() {
