--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -204,15 +204,24 @@
     Backlog backlog = new Backlog(crowded(nowMillis, service));
     for (Ask ask : queue.inOrder(nowMillis)) {
       Optional<UpstreamId> server = keyOwner(ask);
-      long start = among.test(ask) ? expectedStart(nowMillis, queue, ask, server, backlog) : 0;
-      if (start + queue.runMillis() * LEAST_RUN_PART > ask.deadlineMillis()) {
-        refuse(nowMillis, queue, ask, start);
-      } else {
+      boolean refused =
+          among.test(ask)
+              && refuseIfHopeless(
+                  nowMillis, queue, ask, expectedStart(nowMillis, queue, ask, server, backlog));
+      if (!refused) {
         backlog.add(server);
       }
     }
   }
 
+  private boolean refuseIfHopeless(long nowMillis, ServiceQueue queue, Ask ask, long startMillis) {
+    boolean hopeless = startMillis + queue.runMillis() * LEAST_RUN_PART > ask.deadlineMillis();
+    if (hopeless) {
+      refuse(nowMillis, queue, ask, startMillis);
+    }
+    return hopeless;
+  }
+
   private void refuse(long nowMillis, ServiceQueue queue, Ask ask, long startMillis) {
     queue.waiting().remove(ask);
     double gap = 1_000 / Math.max(0.5, throughput(nowMillis, ask));
