Keep the platform's header names out of the host's tests

SiteCaller holds the lines now. MalformedRequestTest and HostServerTest pass (16 tests); the whole script was not run again for this change of test files.

--- a/host/src/test/java/dev/hornbeamwheel/host/MalformedRequestTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/MalformedRequestTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.standins.site.SiteCaller;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -15,14 +16,8 @@
 final class MalformedRequestTest {
   private static final Duration START = Duration.ofSeconds(20);
   private static final int READ_MILLIS = 8_000;
-  private static final String HEADERS =
-      """
-      Host: 127.0.0.1\r
-      X-Hornbeamwheel-Request-Attempt-Id: 9c41d07be2a35f68\r
-      X-Hornbeamwheel-Deadline-Milliseconds: 2500\r
-      """;
   private static final String SECOND_REQUEST =
-      "POST /order/9 HTTP/1.1\r\n" + HEADERS + "Content-Length: 0\r\n\r\n";
+      "POST /order/9 HTTP/1.1\r\n" + SiteCaller.HEADER_LINES + "Content-Length: 0\r\n\r\n";
 
   private static SiteFixture site;
 
@@ -58,7 +53,7 @@
   }
 
   private static String order(String headers, String body) {
-    return "POST /order/1 HTTP/1.1\r\n" + HEADERS + headers + "\r\n" + body;
+    return "POST /order/1 HTTP/1.1\r\n" + SiteCaller.HEADER_LINES + headers + "\r\n" + body;
   }
 
   @Test
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/SiteCaller.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/SiteCaller.java
@@ -25,6 +25,14 @@
        "limits":{"header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,
         "idle_timeout_ms":15000}}""";
 
+  /** Header lines of a request as they go over the connection; the blank line is missing. */
+  public static final String HEADER_LINES =
+      """
+      Host: 127.0.0.1\r
+      X-Hornbeamwheel-Request-Attempt-Id: 9c41d07be2a35f68\r
+      X-Hornbeamwheel-Deadline-Milliseconds: 2500\r
+      """;
+
   private static final String DEADLINE_MILLIS = "2500";
 
   private final HttpClient http = HttpClient.newHttpClient();
