Log connections of callers that end before their answers

`connection-lost` names who ended it and the first request, `answer-cut` the bytes that were still to be sent.

--- a/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -31,6 +32,7 @@
   private final Deque<Exchange> pending = new ArrayDeque<>();
   private Channel channel;
   private boolean closing;
+  private String endedBy = "the caller or the network";
 
   CallerConnection(CallerServer server) {
     super(false);
@@ -45,9 +47,9 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    server.closed(this);
     List<Exchange> left = List.copyOf(pending);
     pending.clear();
+    server.closed(this, endedBy, left);
     left.forEach(server::callerLeft);
   }
 
@@ -74,9 +76,16 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    endedBy = String.valueOf(cause);
     Channels.close(context.channel());
   }
 
+  /** Returns how many bytes of answers the connection has not taken yet. */
+  long unsentBytes() {
+    ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+    return unsent == null ? 0 : unsent.totalPendingWriteBytes();
+  }
+
   /** Returns whether the caller is still connected. */
   boolean open() {
     return channel.isActive();
@@ -103,6 +112,8 @@
   void closeWhenIdle() {
     if (pending.isEmpty()) {
       closing = true;
+      server.closing(this);
+      endedBy = "this host";
       Channels.close(channel);
     }
   }
--- a/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
@@ -2,6 +2,7 @@
 
 import dev.hornbeamwheel.core.host.catalog.Address;
 import dev.hornbeamwheel.core.host.catalog.CallerLimits;
+import dev.hornbeamwheel.core.host.log.LogEntry;
 import dev.hornbeamwheel.core.host.node.HostEvent;
 import dev.hornbeamwheel.core.host.request.AttemptResult;
 import dev.hornbeamwheel.core.host.request.RequestEffect;
@@ -70,6 +71,7 @@
   private final Supplier<CallerLimits> limits;
   private final BooleanSupplier stopping;
   private final BooleanSupplier behind;
+  private final Consumer<LogEntry> log;
   private final HttpCaller upstreams;
   private final Map<RequestRef, Exchange> exchanges = new HashMap<>();
   private final Map<CallerConnection, RequestTimer> connections = new HashMap<>();
@@ -82,13 +84,15 @@
       Consumer<HostEvent> events,
       Supplier<CallerLimits> limits,
       BooleanSupplier stopping,
-      BooleanSupplier behind) {
+      BooleanSupplier behind,
+      Consumer<LogEntry> log) {
     this.loop = loop;
     this.clock = clock;
     this.events = events;
     this.limits = limits;
     this.stopping = stopping;
     this.behind = behind;
+    this.log = log;
     this.upstreams = HttpCaller.create(loop, clock, CONNECT_MILLIS, MAX_ANSWER_BYTES);
   }
 
@@ -149,8 +153,29 @@
     connections.computeIfAbsent(connection, opened -> new RequestTimer(clock));
   }
 
-  void closed(CallerConnection connection) {
+  /** Logs a connection that this host is about to close over an answer that is not sent whole. */
+  void closing(CallerConnection connection) {
+    long unsent = connection.unsentBytes();
+    if (unsent > 0) {
+      log.accept(LogEntry.failure("answer-cut").with("unsentBytes", unsent));
+    }
+  }
+
+  /**
+   * Forgets a connection that has ended.
+   *
+   * @param by who ended it
+   * @param unanswered the requests whose answers it did not carry
+   */
+  void closed(CallerConnection connection, String by, List<Exchange> unanswered) {
     connections.remove(connection);
+    if (!unanswered.isEmpty()) {
+      log.accept(
+          LogEntry.failure("connection-lost")
+              .with("by", by)
+              .with("unanswered", unanswered.size())
+              .with("request", unanswered.get(0).attemptId()));
+    }
   }
 
   Exchange exchange(CallerConnection connection, FullHttpRequest request, boolean keepAlive) {
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -94,7 +94,8 @@
             this::handle,
             () -> node.limits().orElseGet(CallerServer::defaultLimits),
             node::stopping,
-            () -> lag.behind(clock.millis()));
+            () -> lag.behind(clock.millis()),
+            log::write);
   }
 
   /**
