Close a caller's connection only when its answers are sent

Cause: a connection counted as idle once its last request was handed to Netty, and was closed then. Netty's close drops what the socket has not taken; the comment of Channels.close said the opposite. The idle limit counted from the last byte that came in, so a caller that was taking a long answer was idle. And a connection that closes over unread bytes is reset, which discards the rest of the answer at the caller. Class: the end of a connection decided on one side of it only. Evidence: ConnectionEndTest on the code before: 3,502,318 and 4,518,127 of 8,388,608 bytes arrived, with `answer-cut ... unsentBytes 8388704` for each; now all arrive. The test with bytes behind the last request passes on both: on this kernel what was received before a reset stays readable; the users' pages say that it need not. Now: a connection is closed without an answer only if nothing waits and nothing is unsent; taking an answer counts as activity; behind a last answer the sending side is shut first and what still comes is dropped, for a second at most.

--- a/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
@@ -1,8 +1,8 @@
 package dev.hornbeamwheel.host;
 
 import dev.hornbeamwheel.wire.Channels;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -32,6 +32,7 @@
   private final Deque<Exchange> pending = new ArrayDeque<>();
   private Channel channel;
   private boolean closing;
+  private long lastUnsent;
   private String endedBy = "the caller or the network";
 
   CallerConnection(CallerServer server) {
@@ -86,6 +87,17 @@
     return unsent == null ? 0 : unsent.totalPendingWriteBytes();
   }
 
+  /** Returns whether the caller took bytes of an answer since the last call. */
+  boolean sentSome() {
+    ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+    // The total counts a buffer whole until its last byte is sent.
+    long first = unsent != null && unsent.current() instanceof ByteBuf b ? b.readableBytes() : 0;
+    long left = unsentBytes() + first;
+    boolean less = left < lastUnsent;
+    lastUnsent = left;
+    return less;
+  }
+
   /** Returns whether the caller is still connected. */
   boolean open() {
     return channel.isActive();
@@ -108,18 +120,31 @@
     }
   }
 
-  /** Ends the connection: at once if it is idle, else with its last answer. */
-  void closeWhenIdle() {
-    if (pending.isEmpty()) {
-      closing = true;
-      server.closing(this);
-      endedBy = "this host";
-      Channels.close(channel);
+  /** Returns whether no request waits for its answer, and all answers are sent. */
+  boolean quiet() {
+    return idle() && unsentBytes() == 0;
+  }
+
+  /** Ends the connection if nothing waits on it. */
+  void finish() {
+    if (quiet()) {
+      close("this host, which is stopping");
     }
   }
 
+  /** Closes the connection without a further answer. */
+  void close(String by) {
+    closing = true;
+    endedBy = by;
+    server.closing(this);
+    Channels.close(channel);
+  }
+
   /** Answers what cannot be read as a request, and closes. */
   void refuse(HttpResponseStatus status) {
+    if (closing) {
+      return;
+    }
     closing = true;
     if (!pending.isEmpty()) {
       // Earlier requests get their answers first; the connection ends with the last of them.
@@ -130,7 +155,7 @@
         .headers()
         .set(HttpHeaderNames.CONTENT_LENGTH, 0)
         .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    var unused = channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    ConnectionEnd.after(channel.writeAndFlush(response));
   }
 
   private void send(Exchange exchange) {
@@ -143,7 +168,7 @@
     if (last) {
       closing = true;
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      var unused = channel.write(response).addListener(ChannelFutureListener.CLOSE);
+      ConnectionEnd.after(channel.write(response));
       // Requests behind an answer that ends the connection count as unread.
       List<Exchange> unread = List.copyOf(pending);
       pending.clear();
--- a/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
@@ -210,7 +210,7 @@
     events.accept(new HostEvent.CallerLeft(clock.millis(), exchange.ref()));
   }
 
-  /** Closes idle connections and those that send too slowly; to be called now and then. */
+  /** Closes connections that are idle, and those on which a caller is too slow. */
   void sweep() {
     long now = clock.millis();
     CallerLimits current = limits.get();
@@ -220,15 +220,23 @@
             (connection, timer) -> {
               if (connection.idle() && timer.headLate(now, current.headerTimeoutMillis())) {
                 connection.refuse(HttpResponseStatus.REQUEST_TIMEOUT);
-              } else if (timer.silent(now, current.idleTimeoutMillis())) {
-                connection.closeWhenIdle();
+              } else if (connection.sentSome()) {
+                timer.active();
+              } else if (connection.idle() && timer.silent(now, current.idleTimeoutMillis())) {
+                connection.close("the idle limit");
               }
             });
   }
 
-  /** Accepts no more connections, and closes those without a request. */
-  void closeIdle() {
-    List.copyOf(connections.keySet()).forEach(CallerConnection::closeWhenIdle);
+  /** Ends all connections behind the answers to what has arrived on them. */
+  void finish() {
+    Map.copyOf(connections)
+        .forEach(
+            (connection, timer) -> {
+              if (!timer.receiving()) {
+                connection.finish();
+              }
+            });
   }
 
   void stopListening() {
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -42,8 +42,8 @@
   /** Time between two sweeps over connections, in milliseconds. */
   private static final long SWEEP_MILLIS = 500;
 
-  /** Idle callers are sent away so long after the signal to stop, in milliseconds. */
-  private static final long CLOSE_IDLE_MILLIS = 2_600;
+  /** Callers' connections are ended so long after the signal to stop, in milliseconds. */
+  private static final long FINISH_MILLIS = 2_600;
 
   /** The process ends so long before it would be killed, in milliseconds. */
   private static final long STOP_MARGIN_MILLIS = 600;
@@ -248,10 +248,10 @@
 
   private void goOnStopping(long now) {
     long since = now - stoppingSinceMillis;
-    if (since < Math.min(CLOSE_IDLE_MILLIS, settings.graceMillis() / 2)) {
+    if (since < Math.min(FINISH_MILLIS, settings.graceMillis() / 2)) {
       return;
     }
-    callers.closeIdle();
+    callers.finish();
     boolean last = since > settings.graceMillis() - STOP_MARGIN_MILLIS;
     if ((node.requests() == 0 && callers.connections() == 0) || last) {
       callers.stopListening();
--- a/host/src/main/java/dev/hornbeamwheel/host/RequestTimer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/RequestTimer.java
@@ -9,13 +9,13 @@
 /** Notes how long a caller takes to send a request; sits on both sides of the HTTP decoder. */
 final class RequestTimer {
   private final Clock clock;
-  private long lastByteMillis;
+  private long activeMillis;
   private long headSinceMillis = -1;
   private boolean inBody;
 
   RequestTimer(Clock clock) {
     this.clock = clock;
-    this.lastByteMillis = clock.millis();
+    this.activeMillis = clock.millis();
   }
 
   /** Returns whether a request's head has been arriving for longer than a time. */
@@ -23,9 +23,19 @@
     return headSinceMillis >= 0 && !inBody && nowMillis - headSinceMillis > limitMillis;
   }
 
-  /** Returns whether nothing has arrived for longer than a time. */
+  /** Returns whether a part of a request has arrived. */
+  boolean receiving() {
+    return headSinceMillis >= 0;
+  }
+
+  /** Notes that the caller takes an answer. */
+  void active() {
+    activeMillis = clock.millis();
+  }
+
+  /** Returns whether the caller has neither sent nor taken anything for longer than a time. */
   boolean silent(long nowMillis, long limitMillis) {
-    return nowMillis - lastByteMillis > limitMillis;
+    return nowMillis - activeMillis > limitMillis;
   }
 
   /** Returns the handler before the decoder. */
@@ -33,9 +43,9 @@
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext context, Object message) {
-        lastByteMillis = clock.millis();
+        active();
         if (headSinceMillis < 0) {
-          headSinceMillis = lastByteMillis;
+          headSinceMillis = activeMillis;
         }
         context.fireChannelRead(message);
       }
--- /dev/null
+++ b/host/src/test/java/dev/hornbeamwheel/host/ConnectionEndTest.java
@@ -0,0 +1,138 @@
+package dev.hornbeamwheel.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.standins.site.KeyedUpstreamStandin;
+import dev.hornbeamwheel.standins.site.SiteCaller;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Connections that the host ends: every request that reached an upstream is answered whole. */
+final class ConnectionEndTest {
+  private static final Duration START = Duration.ofSeconds(20);
+  private static final long GRACE_MILLIS = 6_000;
+  private static final int LARGE_BYTES = 8 << 20;
+  private static final int SMALL_BUFFER_BYTES = 8 << 10;
+  private static final long RUN_MILLIS = 600;
+  private static final int READ_LIMIT_MILLIS = 5_000;
+  private static final String ORDER =
+      "POST /order/1 HTTP/1.1\r\n" + SiteCaller.HEADER_LINES + "Content-Length: 0\r\n";
+
+  private SiteFixture site;
+
+  @AfterEach
+  void stop() {
+    site.close();
+  }
+
+  /** Guards against answers that were cut off because their host was stopping. */
+  @Test
+  void anAnswerThatIsReadSlowlyArrivesWholeWhileTheHostStops() throws Exception {
+    start();
+    site.desk.forEach(upstream -> upstream.answerWith(LARGE_BYTES));
+    try (Socket caller = connect()) {
+      send(caller, ORDER + "\r\n");
+      InputStream answer = caller.getInputStream();
+      int status = answer.read();
+
+      CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> site.stopHost(0));
+      Thread.sleep(GRACE_MILLIS / 2);
+
+      assertThat(status).isPositive();
+      assertThat(countBytes(answer)).isGreaterThan(LARGE_BYTES);
+      stopped.join();
+    }
+  }
+
+  /** Guards against answers that were cut off by the sweep of idle connections. */
+  @Test
+  void anAnswerThatIsReadSlowlyOutlastsTheIdleLimit() throws Exception {
+    start();
+    site.desk.forEach(upstream -> upstream.answerWith(LARGE_BYTES));
+    shortenIdleLimit(1_000);
+    try (Socket caller = connect()) {
+      send(caller, ORDER + "\r\n");
+      InputStream answer = caller.getInputStream();
+      long read = 0;
+      for (int i = 0; i < 10; i++) {
+        Thread.sleep(300);
+        read += answer.readNBytes(LARGE_BYTES / 20).length;
+      }
+
+      assertThat(read + countBytes(answer)).isGreaterThan(LARGE_BYTES);
+    }
+  }
+
+  /** Guards against answers that were lost to a reset since the caller had sent more. */
+  @Test
+  void bytesBehindTheLastRequestDoNotCostItsAnswer() throws Exception {
+    start();
+    site.desk.forEach(upstream -> upstream.answerWith(LARGE_BYTES));
+    try (Socket caller = connect()) {
+      send(caller, ORDER + "Connection: close\r\n\r\n");
+      InputStream answer = caller.getInputStream();
+      long read = answer.readNBytes(LARGE_BYTES - SMALL_BUFFER_BYTES).length;
+      Thread.sleep(200);
+      send(caller, ORDER + "\r\n");
+      Thread.sleep(200);
+
+      assertThat(read + countBytes(answer)).isGreaterThan(LARGE_BYTES);
+    }
+  }
+
+  private void start() throws Exception {
+    site = new SiteFixture(1, GRACE_MILLIS);
+    assertThat(site.awaitServing(0, START)).isTrue();
+  }
+
+  private void shortenIdleLimit(int millis) throws InterruptedException {
+    site.store.put(
+        "op",
+        "config",
+        SiteCaller.CONFIGURATION
+            .replace("r7", "r8")
+            .replace("\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":" + millis));
+    Thread.sleep(1_000);
+  }
+
+  private Socket connect() throws IOException {
+    Socket caller = new Socket();
+    caller.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+    caller.setSoTimeout(READ_LIMIT_MILLIS);
+    caller.connect(
+        new InetSocketAddress(
+            InetAddress.getLoopbackAddress(), site.settings(0).callerAddress().port()));
+    return caller;
+  }
+
+  private int runs() {
+    return site.desk.stream().mapToInt(KeyedUpstreamStandin::runs).sum();
+  }
+
+  private static void send(Socket caller, String request) throws IOException {
+    caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static long countBytes(InputStream answer) throws IOException {
+    long bytes = 0;
+    byte[] buffer = new byte[64 << 10];
+    try {
+      for (int read = answer.read(buffer); read >= 0; read = answer.read(buffer)) {
+        bytes += read;
+      }
+    } catch (SocketTimeoutException e) {
+      // The connection stays open behind a whole answer.
+    }
+    return bytes;
+  }
+}
--- a/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
@@ -13,21 +13,30 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A store, three keyed and two pooled upstreams, and entry hosts, on the loopback address. */
 final class SiteFixture implements AutoCloseable {
   private static final String[] DATA_CENTRES = {"quimper", "morlaix", "vannes"};
   private static final int HOLD_MAX_MILLIS = 10_000;
-  private static final int GRACE_MILLIS = 1_000;
+  private static final long GRACE_MILLIS = 1_000;
 
   final StoreStandin store = StoreStandin.start(0);
   final List<KeyedUpstreamStandin> ledger = new ArrayList<>();
   final List<KeyedUpstreamStandin> desk = new ArrayList<>();
   private final List<HostServer> hosts = new ArrayList<>();
+  private final List<HostServer> stopped = new CopyOnWriteArrayList<>();
   private final List<HostSettings> settings = new ArrayList<>();
   private final SiteCaller caller = SiteCaller.create();
+  private final long graceMillis;
 
   SiteFixture(int hostCount) throws IOException {
+    this(hostCount, GRACE_MILLIS);
+  }
+
+  /** Starts a site whose hosts may take so long to stop, in milliseconds. */
+  SiteFixture(int hostCount, long graceMillis) throws IOException {
+    this.graceMillis = graceMillis;
     store.put("op", "config", SiteCaller.CONFIGURATION);
     for (int i = 0; i < 3; i++) {
       ledger.add(add("ledger", i, true));
@@ -98,7 +107,14 @@
         freeAddress(),
         new Address("127.0.0.1", store.port()),
         HOLD_MAX_MILLIS,
-        GRACE_MILLIS);
+        graceMillis);
+  }
+
+  /** Stops a host as a signal does, and returns once it has ended. */
+  void stopHost(int place) {
+    HostServer stopping = hosts.get(place);
+    stopping.stop();
+    stopped.add(stopping);
   }
 
   HostServer host(int place) {
@@ -149,7 +165,7 @@
 
   @Override
   public void close() {
-    hosts.parallelStream().forEach(HostServer::stop);
+    hosts.parallelStream().filter(host -> !stopped.contains(host)).forEach(HostServer::stop);
     ledger.forEach(KeyedUpstreamStandin::close);
     desk.forEach(KeyedUpstreamStandin::close);
     store.close();
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/KeyedUpstreamStandin.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/KeyedUpstreamStandin.java
@@ -7,8 +7,10 @@
 import io.undertow.server.handlers.BlockingHandler;
 import io.undertow.util.HttpString;
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -52,6 +54,8 @@
   private final List<Hold> holds = new CopyOnWriteArrayList<>();
   private final AtomicInteger runs = new AtomicInteger();
   private volatile Behaviour behaviour = Behaviour.SERVE;
+  private volatile int answerBytes;
+  private volatile long runMillis;
 
   private KeyedUpstreamStandin(String id, boolean keyed) {
     this.id = id;
@@ -84,6 +88,16 @@
     behaviour = next;
   }
 
+  /** Changes how long its answers are at least, in bytes. */
+  public void answerWith(int bytes) {
+    answerBytes = bytes;
+  }
+
+  /** Changes how long a request runs, in milliseconds. */
+  public void runFor(long millis) {
+    runMillis = millis;
+  }
+
   /** Returns how many requests it has begun to run. */
   public int runs() {
     return runs.get();
@@ -135,15 +149,23 @@
       return;
     }
     runs.incrementAndGet();
+    pause();
     if (behaviour == Behaviour.LOSE_ANSWER) {
       exchange.getConnection().close();
       return;
     }
     exchange.getResponseHeaders().put(SIGNATURE, "3e1b.07.5a2.600.0.c9f2a4d1");
     exchange.getResponseHeaders().put(LOAD, "1,0,2,100");
-    exchange
-        .getOutputStream()
-        .write((id + " served " + exchange.getRequestPath()).getBytes(StandardCharsets.UTF_8));
+    byte[] answer = (id + " served " + exchange.getRequestPath()).getBytes(StandardCharsets.UTF_8);
+    exchange.getOutputStream().write(Arrays.copyOf(answer, Math.max(answer.length, answerBytes)));
+  }
+
+  private void pause() throws InterruptedIOException {
+    try {
+      Thread.sleep(runMillis);
+    } catch (InterruptedException e) {
+      throw new InterruptedIOException("the upstream is stopped");
+    }
   }
 
   private static JsonNode body(HttpServerExchange exchange) throws IOException {
--- a/wire/src/main/java/dev/hornbeamwheel/wire/Channels.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/Channels.java
@@ -28,7 +28,7 @@
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES);
   }
 
-  /** Begins to close a channel; what was flushed before is still sent. */
+  /** Closes a channel; of what was written, only what its socket has taken is still sent. */
   public static void close(Channel channel) {
     // The outcome of a close changes nothing: the channel is of no more use either way.
     var unused = channel.close();
