End a busy connection with its answers when the host stops

What callers saw: a request that an upstream had begun to run, and a connection that ended without its answer, while its host was restarted (LOST). Cause: connections were ended only in a moment without a request.

--- a/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
@@ -125,9 +125,11 @@
     return idle() && unsentBytes() == 0;
   }
 
-  /** Ends the connection if nothing waits on it. */
+  /** Ends the connection as soon as all requests that have arrived are answered. */
   void finish() {
-    if (quiet()) {
+    if (!idle()) {
+      closing = true;
+    } else if (quiet()) {
       close("this host, which is stopping");
     }
   }
--- a/host/src/test/java/dev/hornbeamwheel/host/ConnectionEndTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/ConnectionEndTest.java
@@ -90,6 +90,31 @@
     }
   }
 
+  /** Guards against requests that were cut at an upstream since their connection was never idle. */
+  @Test
+  void aConnectionThatIsNeverIdleEndsWithAllItsAnswersWhenTheHostStops() throws Exception {
+    start();
+    site.desk.forEach(upstream -> upstream.runFor(RUN_MILLIS));
+    int before = runs();
+    try (Socket caller = connect()) {
+      CompletableFuture<Void> sender = sendSteadily(caller);
+      assertThat(readAnswer(caller.getInputStream())).isTrue();
+      long stoppingSince = System.nanoTime();
+      CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> site.stopHost(0));
+
+      int answers = 1;
+      while (readAnswer(caller.getInputStream())) {
+        answers++;
+      }
+      long tookMillis = (System.nanoTime() - stoppingSince) / 1_000_000;
+
+      assertThat(tookMillis).isLessThan(GRACE_MILLIS - RUN_MILLIS);
+      assertThat(answers).isEqualTo(runs() - before);
+      stopped.join();
+      sender.join();
+    }
+  }
+
   private void start() throws Exception {
     site = new SiteFixture(1, GRACE_MILLIS);
     assertThat(site.awaitServing(0, START)).isTrue();
@@ -123,6 +148,45 @@
     caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
   }
 
+  /** Sends requests more often than they are answered, until the connection ends. */
+  private static CompletableFuture<Void> sendSteadily(Socket caller) {
+    return CompletableFuture.runAsync(
+        () -> {
+          try {
+            while (true) {
+              send(caller, ORDER + "\r\n");
+              Thread.sleep(RUN_MILLIS / 3);
+            }
+          } catch (IOException | InterruptedException e) {
+            // The host has ended the connection.
+          }
+        });
+  }
+
+  /** Reads one answer; returns false if the connection ends in place of it. */
+  private static boolean readAnswer(InputStream answers) {
+    StringBuilder head = new StringBuilder();
+    try {
+      while (head.indexOf("\r\n\r\n") < 0) {
+        int next = answers.read();
+        if (next < 0) {
+          return false;
+        }
+        head.append((char) next);
+      }
+      int length =
+          head.toString()
+              .lines()
+              .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("content-length:"))
+              .mapToInt(line -> Integer.parseInt(line.substring(15).trim()))
+              .findFirst()
+              .orElse(0);
+      return answers.readNBytes(length).length == length;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private static long countBytes(InputStream answer) throws IOException {
     long bytes = 0;
     byte[] buffer = new byte[64 << 10];
