--- a/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
@@ -1,9 +1,10 @@
 package dev.hornbeamwheel.host;
 
 import dev.hornbeamwheel.wire.Channels;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -31,6 +32,8 @@
   private final Deque<Exchange> pending = new ArrayDeque<>();
   private Channel channel;
   private boolean closing;
+  private long lastUnsent;
+  private String endedBy = "the caller or the network";
 
   CallerConnection(CallerServer server) {
     super(false);
@@ -45,9 +48,9 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    server.closed(this);
     List<Exchange> left = List.copyOf(pending);
     pending.clear();
+    server.closed(this, endedBy, left);
     left.forEach(server::callerLeft);
   }
 
@@ -74,9 +77,27 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    endedBy = String.valueOf(cause);
     Channels.close(context.channel());
   }
 
+  /** Returns how many bytes of answers the connection has not taken yet. */
+  long unsentBytes() {
+    ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+    return unsent == null ? 0 : unsent.totalPendingWriteBytes();
+  }
+
+  /** Returns whether the caller took bytes of an answer since the last call. */
+  boolean sentSome() {
+    ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+    // The total counts a buffer whole until its last byte is sent.
+    long first = unsent != null && unsent.current() instanceof ByteBuf b ? b.readableBytes() : 0;
+    long left = unsentBytes() + first;
+    boolean less = left < lastUnsent;
+    lastUnsent = left;
+    return less;
+  }
+
   /** Returns whether the caller is still connected. */
   boolean open() {
     return channel.isActive();
@@ -99,16 +120,33 @@
     }
   }
 
-  /** Ends the connection: at once if it is idle, else with its last answer. */
-  void closeWhenIdle() {
-    if (pending.isEmpty()) {
+  /** Returns whether no request waits for its answer, and all answers are sent. */
+  boolean quiet() {
+    return idle() && unsentBytes() == 0;
+  }
+
+  /** Ends the connection as soon as all requests that have arrived are answered. */
+  void finish() {
+    if (!idle()) {
       closing = true;
-      Channels.close(channel);
+    } else if (quiet()) {
+      close("this host, which is stopping");
     }
   }
 
+  /** Closes the connection without a further answer. */
+  void close(String by) {
+    closing = true;
+    endedBy = by;
+    server.closing(this);
+    Channels.close(channel);
+  }
+
   /** Answers what cannot be read as a request, and closes. */
   void refuse(HttpResponseStatus status) {
+    if (closing) {
+      return;
+    }
     closing = true;
     if (!pending.isEmpty()) {
       // Earlier requests get their answers first; the connection ends with the last of them.
@@ -119,7 +157,7 @@
         .headers()
         .set(HttpHeaderNames.CONTENT_LENGTH, 0)
         .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    var unused = channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    ConnectionEnd.after(channel.writeAndFlush(response));
   }
 
   private void send(Exchange exchange) {
@@ -132,7 +170,7 @@
     if (last) {
       closing = true;
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      var unused = channel.write(response).addListener(ChannelFutureListener.CLOSE);
+      ConnectionEnd.after(channel.write(response));
       // Requests behind an answer that ends the connection count as unread.
       List<Exchange> unread = List.copyOf(pending);
       pending.clear();
