Collect the usable upstreams of a service once a change

On a large fleet callers were refused by hosts that no longer heard the coordinator. Every ask and every completion there walked all upstreams of all services to find the usable ones of one service, and every look at a key's holder built a stream over the starts seen at the owner's address.

The catalog now keeps the usable upstreams of each service until a registration or an evacuation changes, and compares start times before anything else. The answers are the same.

The new test failed before the change: the list was collected anew at each call.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/catalog/Catalog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/catalog/Catalog.java
@@ -30,6 +30,7 @@
   private final Map<UpstreamId, Long> removalDue = new HashMap<>();
   private final Map<Address, Deque<UpstreamEntry>> seenAt = new HashMap<>();
   private final Set<DataCentreId> evacuated = new HashSet<>();
+  private final Map<ServiceId, List<UpstreamEntry>> usable = new HashMap<>();
   private FleetConfiguration configuration;
   private boolean upstreamsKnown;
   private long storeReturnedMillis = Long.MIN_VALUE / 2;
@@ -82,6 +83,7 @@
   /** Adopts one registration. */
   public void putUpstream(UpstreamEntry entry) {
     upstreams.put(entry.id(), entry);
+    usable.clear();
     removalDue.remove(entry.id());
     Deque<UpstreamEntry> seen =
         seenAt.computeIfAbsent(entry.address(), address -> new ArrayDeque<>());
@@ -98,8 +100,7 @@
     if (nowMillis < due) {
       removalDue.putIfAbsent(id, due);
     } else {
-      upstreams.remove(id);
-      removalDue.remove(id);
+      remove(id);
     }
   }
 
@@ -110,18 +111,21 @@
             .filter(entry -> nowMillis >= entry.getValue())
             .map(Map.Entry::getKey)
             .toList();
-    due.forEach(
-        id -> {
-          upstreams.remove(id);
-          removalDue.remove(id);
-        });
+    due.forEach(this::remove);
     return !due.isEmpty();
   }
 
+  private void remove(UpstreamId id) {
+    upstreams.remove(id);
+    usable.clear();
+    removalDue.remove(id);
+  }
+
   /** Replaces the set of data centres that operators have taken out. */
   public void evacuate(Set<DataCentreId> dataCentres) {
     evacuated.clear();
     evacuated.addAll(dataCentres);
+    usable.clear();
   }
 
   /** Returns the registration of an upstream, or empty if it has none. */
@@ -129,11 +133,14 @@
     return Optional.ofNullable(upstreams.get(id));
   }
 
-  /** Returns the upstreams of a service that may get new work. */
+  /** Returns the upstreams of a service that may get new work; the same list until a change. */
   public List<UpstreamEntry> usable(ServiceId service) {
-    return upstreams.values().stream()
-        .filter(entry -> entry.service().equals(service) && usable(entry))
-        .toList();
+    return usable.computeIfAbsent(
+        service,
+        id ->
+            upstreams.values().stream()
+                .filter(entry -> entry.service().equals(id) && usable(entry))
+                .toList());
   }
 
   /** Returns whether an upstream may get new work. */
@@ -152,11 +159,11 @@
         && sameId.life().startedUnixMillis() > life.startedUnixMillis()) {
       return true;
     }
-    return seenAt.getOrDefault(address, new ArrayDeque<>()).stream()
-        .filter(this::known)
-        .map(UpstreamEntry::life)
-        .filter(seen -> !seen.equals(life))
-        .anyMatch(seen -> seen.startedUnixMillis() > life.startedUnixMillis());
+    Deque<UpstreamEntry> seen = seenAt.get(address);
+    return seen != null
+        && seen.stream()
+            .filter(entry -> entry.life().startedUnixMillis() > life.startedUnixMillis())
+            .anyMatch(this::known);
   }
 
   /** Returns whether a registration names a service of the configuration; others prove nothing. */
--- a/core/src/test/java/dev/hornbeamwheel/core/host/catalog/CatalogTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/catalog/CatalogTest.java
@@ -77,4 +77,34 @@
 
     assertThat(catalog.usable(LEDGER)).isEmpty();
   }
+
+  // Guards against work at each request that grows with the number of upstreams.
+  @Test
+  void usableUpstreamsAreCollectedOnceAfterEachChange() {
+    catalog.configure(configuration(1));
+    catalog.putUpstream(entry("i-1", LEDGER, 100));
+    List<UpstreamEntry> first = catalog.usable(LEDGER);
+    assertThat(catalog.usable(LEDGER)).isSameAs(first);
+
+    catalog.putUpstream(entry("i-2", LEDGER, 200));
+    assertThat(catalog.usable(LEDGER)).hasSize(2);
+    catalog.removeUpstream(0, UpstreamId.of("i-1"));
+    assertThat(catalog.usable(LEDGER)).hasSize(1);
+    catalog.evacuate(Set.of(VANNES));
+    assertThat(catalog.usable(LEDGER)).isEmpty();
+    catalog.evacuate(Set.of());
+    assertThat(catalog.usable(LEDGER)).hasSize(1);
+  }
+
+  @Test
+  void aRegistrationWhoseDelayPassesIsUsableNoMore() {
+    catalog.configure(configuration(1));
+    catalog.putUpstream(entry("i-1", LEDGER, 100));
+    catalog.storeReturned(10_000);
+    catalog.removeUpstream(10_100, UpstreamId.of("i-1"));
+    assertThat(catalog.usable(LEDGER)).hasSize(1);
+
+    catalog.tick(12_000);
+    assertThat(catalog.usable(LEDGER)).isEmpty();
+  }
 }
