Look only at the asks of one upstream when something happens there

Callers of a large fleet were refused by hosts that had not heard the coordinator for 450 ms ("the key's owner has no room", "no upstream in reach has room"). At every ask and every completion the broker sorted all waiting asks of the service, looked up the holder of each one's key and summed what all upstreams can serve, so its work grew with the fleet and with the queue, on one event loop.

Waiting asks now lie under the upstream that alone can serve them. An ask or a completion looks at that upstream's asks; the sum is needed only for an ask that has to wait. What changes by time or by the table is told: the broker notes when pauses end, and the coordinator says when keys have other owners or an owner holds its keys. Ticks still look at everything. The order in which asks are served and who is refused follow the same rules; only a cold upstream's next token and the first confirmed grant of a new term may now wait for the tick (25 ms).

Tests: the counts of looked-up owners failed before, with 800 and 1,606 looks for 400 upstreams where 32 are allowed.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -27,6 +27,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 /** The work of the coordinator during one term: slots for all hosts, owners for all keys. */
 final class Coordinator {
@@ -119,20 +120,28 @@
   }
 
   List<HostEffect> tableRead(long now, ServiceId service, TableRead result) {
-    Optional.ofNullable(keyed.get(service))
-        .ifPresent(owners -> perform(service, owners.tableRead(now, result)));
-    return drain();
+    return keysEvent(now, service, owners -> owners.tableRead(now, result));
   }
 
   List<HostEffect> tableWritten(long now, ServiceId service, TableWrite result) {
-    Optional.ofNullable(keyed.get(service))
-        .ifPresent(owners -> perform(service, owners.tableWritten(now, result)));
-    return drain();
+    return keysEvent(now, service, owners -> owners.tableWritten(now, result));
   }
 
   List<HostEffect> orderEnded(long now, ServiceId service, long order, OrderResult result) {
-    Optional.ofNullable(keyed.get(service))
-        .ifPresent(owners -> perform(service, owners.orderEnded(now, order, result)));
+    return keysEvent(now, service, owners -> owners.orderEnded(now, order, result));
+  }
+
+  private List<HostEffect> keysEvent(
+      long now, ServiceId service, Function<KeyedService, List<KeyEffect>> event) {
+    nowMillis = now;
+    KeyedService owners = keyed.get(service);
+    if (owners != null) {
+      long before = owners.revision();
+      perform(service, event.apply(owners));
+      if (owners.revision() != before) {
+        answer(broker.ownersChanged(now, service));
+      }
+    }
     return drain();
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/Backlog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/Backlog.java
@@ -23,9 +23,9 @@
     return serviceCrowded;
   }
 
-  /** Adds an ask; {@code server} is empty if any upstream can serve it. */
-  void add(Optional<UpstreamId> server) {
-    asks.merge(server, 1, Integer::sum);
+  /** Adds asks; {@code server} is empty if any upstream can serve them. */
+  void add(Optional<UpstreamId> server, int more) {
+    asks.merge(server, more, Integer::sum);
   }
 
   int ahead(Optional<UpstreamId> server) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.PriorityQueue;
 
 /**
  * Hands out the slots of all upstreams, late and in one place.
@@ -46,10 +46,15 @@
   /** Rate below which nothing is expected to be served, in requests a second. */
   private static final double LEAST_PER_SECOND = 0.1;
 
+  /** The end of a pause. */
+  private record Resumption(long atMillis, UpstreamId upstream) {}
+
   private final Catalog catalog;
   private final KeyLookup keys;
   private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
   private final Map<ServiceId, ServiceQueue> queues = new HashMap<>();
+  private final PriorityQueue<Resumption> resumptions =
+      new PriorityQueue<>(Comparator.comparingLong(Resumption::atMillis));
   private final List<SlotEffect> out = new ArrayList<>();
 
   private SlotBroker(Catalog catalog, KeyLookup keys) {
@@ -65,10 +70,18 @@
   /** Takes an ask; it is answered now or later. */
   public List<SlotEffect> ask(long nowMillis, Ask ask) {
     ServiceQueue queue = queue(ask.service());
-    queue.arrived(nowMillis, keyOwner(ask));
-    queue.waiting().add(ask);
-    serve(nowMillis, ask.service());
-    refuseHopeless(nowMillis, ask.service(), ask::equals);
+    Optional<UpstreamId> server = keyOwner(ask);
+    queue.arrived(nowMillis, server);
+    queue.add(ask, server);
+    resume(nowMillis);
+    if (ask.key().isEmpty() || server.isPresent()) {
+      serve(nowMillis, ask.service(), server);
+    }
+    if (queue.waits(ask)) {
+      Backlog backlog = backlog(nowMillis, ask.service());
+      backlog.add(server, queue.ahead(nowMillis, ask));
+      refuseIfHopeless(nowMillis, queue, ask, server, backlog);
+    }
     return drain();
   }
 
@@ -99,16 +112,27 @@
       return drain();
     }
     load.end(nowMillis, ticket, completion, ranMillis, workPercent);
+    if (load.pausedUntil() > nowMillis) {
+      resumptions.add(new Resumption(load.pausedUntil(), upstream));
+    }
+    resume(nowMillis);
     entry.ifPresent(
         known -> {
           if (completion == Completion.SERVED) {
             queue(known.service()).served(ranMillis);
           }
-          serve(nowMillis, known.service());
+          serve(nowMillis, known);
         });
     return drain();
   }
 
+  /** Notes that keys of a service have other owners, or that an owner holds its keys now. */
+  public List<SlotEffect> ownersChanged(long nowMillis, ServiceId service) {
+    queue(service).file(this::keyOwner);
+    serve(nowMillis, service);
+    return drain();
+  }
+
   /** Notes a request that runs on a slot which an earlier coordinator handed out. */
   public void hold(long nowMillis, Ticket ticket, UpstreamId upstream) {
     catalog
@@ -119,7 +143,7 @@
   /** Forgets all asks of a host whose connection ended. */
   public List<SlotEffect> dropLink(long nowMillis, LinkId link) {
     loads.values().forEach(load -> load.dropLink(link));
-    queues.values().forEach(queue -> queue.waiting().removeIf(ask -> ask.link().equals(link)));
+    queues.values().forEach(queue -> queue.dropLink(link));
     return serveAll(nowMillis);
   }
 
@@ -130,8 +154,9 @@
     List.copyOf(queues.keySet())
         .forEach(
             service -> {
+              queue(service).file(this::keyOwner);
               serve(nowMillis, service);
-              refuseHopeless(nowMillis, service, waiting -> true);
+              refuseHopeless(nowMillis, service);
             });
     return drain();
   }
@@ -141,13 +166,13 @@
     UpstreamLoad load = load(entry);
     double sound = Math.max(0.1, 1 - load.failureRate());
     double full = entry.slots() * 1_000 / Math.max(1, load.runMillis()) * sound;
-    double cold = coldPerSecond(entry.service());
-    return entry.cold(nowMillis) && cold > 0 ? Math.min(full, cold) : full;
+    double cold = entry.cold(nowMillis) ? coldPerSecond(entry.service()) : 0;
+    return cold > 0 ? Math.min(full, cold) : full;
   }
 
   /** Returns how many asks of a service wait. */
   public int waiting(ServiceId service) {
-    return queue(service).waiting().size();
+    return queue(service).size();
   }
 
   private List<SlotEffect> serveAll(long nowMillis) {
@@ -155,22 +180,44 @@
     return drain();
   }
 
+  /** Hands out slots of all upstreams of a service. */
   private void serve(long nowMillis, ServiceId service) {
+    queue(service).inOrder(nowMillis).forEach(ask -> serve(nowMillis, ask));
+  }
+
+  /** Hands out the slots of upstreams whose pause has ended. */
+  private void resume(long nowMillis) {
+    while (!resumptions.isEmpty() && resumptions.peek().atMillis() <= nowMillis) {
+      catalog.upstream(resumptions.poll().upstream()).ifPresent(entry -> serve(nowMillis, entry));
+    }
+  }
+
+  /** Hands out a slot that became free at an upstream. */
+  private void serve(long nowMillis, UpstreamEntry freed) {
+    serve(nowMillis, freed.service(), Optional.of(freed.id()));
+    serve(nowMillis, freed.service(), Optional.empty());
+  }
+
+  /** Serves the asks that wait for one upstream, or those without a key. */
+  private void serve(long nowMillis, ServiceId service, Optional<UpstreamId> server) {
     ServiceQueue queue = queue(service);
-    if (queue.waiting().isEmpty()) {
+    if (!queue.waits(server) || server.filter(id -> !free(nowMillis, id)).isPresent()) {
       return;
     }
-    List<UpstreamEntry> usable = catalog.usable(service);
-    for (Ask ask : queue.inOrder(nowMillis)) {
-      Optional<UpstreamEntry> chosen =
-          ask.key().isPresent()
-              ? owner(nowMillis, ask)
-              : usable.stream()
-                  .filter(entry -> !ask.avoid().contains(entry.id()))
-                  .filter(entry -> free(nowMillis, entry))
-                  .min(Comparator.comparingDouble(entry -> cost(nowMillis, ask, entry)));
-      chosen.ifPresent(entry -> give(nowMillis, queue, ask, entry));
-    }
+    queue.inOrder(nowMillis, server).forEach(ask -> serve(nowMillis, ask));
+  }
+
+  private void serve(long nowMillis, Ask ask) {
+    Optional<UpstreamEntry> chosen =
+        ask.key().isPresent() ? owner(nowMillis, ask) : cheapest(nowMillis, ask);
+    chosen.ifPresent(entry -> give(nowMillis, ask, entry));
+  }
+
+  private Optional<UpstreamEntry> cheapest(long nowMillis, Ask ask) {
+    return catalog.usable(ask.service()).stream()
+        .filter(entry -> !ask.avoid().contains(entry.id()))
+        .filter(entry -> free(nowMillis, entry))
+        .min(Comparator.comparingDouble(entry -> cost(nowMillis, ask, entry)));
   }
 
   private Optional<UpstreamEntry> owner(long nowMillis, Ask ask) {
@@ -179,9 +226,14 @@
         .filter(entry -> free(nowMillis, entry));
   }
 
+  private boolean free(long nowMillis, UpstreamId upstream) {
+    return catalog.upstream(upstream).filter(entry -> free(nowMillis, entry)).isPresent();
+  }
+
   private boolean free(long nowMillis, UpstreamEntry entry) {
-    return load(entry)
-        .free(nowMillis, entry.slots(), entry.cold(nowMillis), coldPerSecond(entry.service()));
+    boolean cold = entry.cold(nowMillis);
+    double coldPerSecond = cold ? coldPerSecond(entry.service()) : 0;
+    return load(entry).free(nowMillis, entry.slots(), cold, coldPerSecond);
   }
 
   private double cost(long nowMillis, Ask ask, UpstreamEntry entry) {
@@ -191,39 +243,41 @@
     return load.expectedMillis(nowMillis) * (1 + 4 * load.failureRate()) + distance;
   }
 
-  private void give(long nowMillis, ServiceQueue queue, Ask ask, UpstreamEntry entry) {
-    queue.waiting().remove(ask);
+  private void give(long nowMillis, Ask ask, UpstreamEntry entry) {
+    queue(ask.service()).remove(ask.ticket());
     load(entry).begin(nowMillis, ask.ticket(), entry.cold(nowMillis));
     long fence = ask.key().isPresent() ? keys.fence(ask.service(), ask.key().getAsInt()) : 0;
     out.add(new SlotEffect.Give(ask.ticket(), entry.id(), fence));
   }
 
-  /** Refuses the asks, among those that wait, that will probably get no slot in time. */
-  private void refuseHopeless(long nowMillis, ServiceId service, Predicate<Ask> among) {
+  /** Refuses the asks that will probably get no slot in time. */
+  private void refuseHopeless(long nowMillis, ServiceId service) {
     ServiceQueue queue = queue(service);
-    Backlog backlog = new Backlog(crowded(nowMillis, service));
+    Backlog backlog = backlog(nowMillis, service);
     for (Ask ask : queue.inOrder(nowMillis)) {
       Optional<UpstreamId> server = keyOwner(ask);
-      boolean refused =
-          among.test(ask)
-              && refuseIfHopeless(
-                  nowMillis, queue, ask, expectedStart(nowMillis, queue, ask, server, backlog));
-      if (!refused) {
-        backlog.add(server);
+      if (!refuseIfHopeless(nowMillis, queue, ask, server, backlog)) {
+        backlog.add(server, 1);
       }
     }
   }
 
-  private boolean refuseIfHopeless(long nowMillis, ServiceQueue queue, Ask ask, long startMillis) {
-    boolean hopeless = startMillis + queue.runMillis() * LEAST_RUN_PART > ask.deadlineMillis();
+  private Backlog backlog(long nowMillis, ServiceId service) {
+    return new Backlog(crowded(nowMillis, service));
+  }
+
+  private boolean refuseIfHopeless(
+      long nowMillis, ServiceQueue queue, Ask ask, Optional<UpstreamId> server, Backlog backlog) {
+    long start = expectedStart(nowMillis, queue, ask, server, backlog);
+    boolean hopeless = start + queue.runMillis() * LEAST_RUN_PART > ask.deadlineMillis();
     if (hopeless) {
-      refuse(nowMillis, queue, ask, startMillis);
+      refuse(nowMillis, queue, ask, start);
     }
     return hopeless;
   }
 
   private void refuse(long nowMillis, ServiceQueue queue, Ask ask, long startMillis) {
-    queue.waiting().remove(ask);
+    queue.remove(ask.ticket());
     double gap = 1_000 / Math.max(0.5, throughput(nowMillis, ask));
     long most = Math.max(0, ask.deadlineMillis() - nowMillis) / RETRY_PART;
     long ready = ask.key().isEmpty() ? nowMillis : ownerReady(nowMillis, ask);
