Keep the sum of what a service can serve

Each ask that had to wait, and each look at whether a service is crowded, summed the rates of all its upstreams, so an overloaded coordinator of a large fleet did the most work for those that it would refuse.

The sum is now kept per service. It follows when a request ends at an upstream or a pause ends, and is made anew at the next need after each tick (for cold upstreams that became warm, and rounding) and after a change of the registrations.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -54,6 +54,7 @@
   private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
   private final Map<Ticket, UpstreamId> running = new HashMap<>();
   private final Map<ServiceId, ServiceQueue> queues = new HashMap<>();
+  private final Map<ServiceId, ServiceRate> rates = new HashMap<>();
   private final PriorityQueue<Resumption> resumptions =
       new PriorityQueue<>(Comparator.comparingLong(Resumption::atMillis));
   private final List<SlotEffect> out = new ArrayList<>();
@@ -116,6 +117,7 @@
     }
     load.end(nowMillis, ticket, completion, ranMillis, workPercent);
     running.remove(ticket, upstream);
+    entry.ifPresent(known -> noteRate(nowMillis, known));
     if (load.pausedUntil() > nowMillis) {
       resumptions.add(new Resumption(load.pausedUntil(), upstream));
     }
@@ -162,6 +164,8 @@
     if (loads.keySet().removeIf(id -> catalog.upstream(id).isEmpty())) {
       running.values().removeIf(id -> !loads.containsKey(id));
     }
+    // Upstreams become warm, and sums of rates gather rounding errors.
+    rates.clear();
     queues.values().forEach(queue -> queue.forget(id -> catalog.upstream(id).isEmpty()));
     List.copyOf(queues.keySet())
         .forEach(
@@ -200,10 +204,15 @@
   /** Hands out the slots of upstreams whose pause has ended. */
   private void resume(long nowMillis) {
     while (!resumptions.isEmpty() && resumptions.peek().atMillis() <= nowMillis) {
-      catalog.upstream(resumptions.poll().upstream()).ifPresent(entry -> serve(nowMillis, entry));
+      catalog.upstream(resumptions.poll().upstream()).ifPresent(entry -> resume(nowMillis, entry));
     }
   }
 
+  private void resume(long nowMillis, UpstreamEntry entry) {
+    noteRate(nowMillis, entry);
+    serve(nowMillis, entry);
+  }
+
   /** Hands out a slot that became free at an upstream. */
   private void serve(long nowMillis, UpstreamEntry freed) {
     serve(nowMillis, freed.service(), Optional.of(freed.id()));
@@ -352,10 +361,25 @@
   }
 
   private double throughput(long nowMillis, ServiceId service) {
-    return catalog.usable(service).stream()
-        .filter(entry -> nowMillis >= load(entry).pausedUntil())
-        .mapToDouble(entry -> requestsPerSecond(nowMillis, entry))
-        .sum();
+    List<UpstreamEntry> usable = catalog.usable(service);
+    ServiceRate rate = rates.get(service);
+    if (rate == null || !rate.isOf(usable)) {
+      rate = ServiceRate.of(usable, entry -> presentRate(nowMillis, entry));
+      rates.put(service, rate);
+    }
+    return rate.perSecond();
+  }
+
+  private void noteRate(long nowMillis, UpstreamEntry entry) {
+    ServiceRate rate = rates.get(entry.service());
+    if (rate != null) {
+      rate.changed(entry.id(), presentRate(nowMillis, entry));
+    }
+  }
+
+  private double presentRate(long nowMillis, UpstreamEntry entry) {
+    boolean paused = nowMillis < load(entry).pausedUntil();
+    return paused ? 0 : requestsPerSecond(nowMillis, entry);
   }
 
   private double coldPerSecond(ServiceId service) {
