Find open orders by number and by upstream

Each answer to a grant was told to the clocks of all ranges of the service, and each range that was due counted all open orders. With 462 ranges that are renewed by calls of their own, that is over 500 answers a second, each of which looked at more than 900 clocks.

Open orders now lie in one place, with the clocks on which each grant is open and a count per upstream. When ranges are split, joined or moved the clocks are gathered anew, so that every copy still learns of the answer: a part that was joined with a neighbour and split off again carries the neighbour's open grants, too, and would otherwise wait for ever.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantClock.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantClock.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * How long an upstream may hold a range, judged from the grants that were sent to it.
@@ -108,6 +109,11 @@
     open.remove(order);
   }
 
+  /** Returns the orders whose grants may still be on their way. */
+  Set<Long> openOrders() {
+    return open.keySet();
+  }
+
   /** Returns whether a grant may still be on its way. */
   boolean waiting() {
     return !open.isEmpty();
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -7,12 +7,10 @@
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 /**
  * The owners of the keys of one service during one term of the coordinator.
@@ -61,7 +59,7 @@
   private final UpstreamContact contact = new UpstreamContact();
   private final CutOffDataCentres cutOff;
   private final OwnerFitness fitness;
-  private final Map<Long, OwnedRange> orders = new HashMap<>();
+  private final OpenOrders orders = new OpenOrders();
   private final List<KeyEffect> out = new ArrayList<>();
 
   private OwnedRanges ranges = OwnedRanges.none();
@@ -218,6 +216,7 @@
       nextFence = proposed.table().nextFence();
       unsettled = false;
       ranges = OwnedRanges.of(proposed.apply());
+      orders.follow(ranges.stream());
       revision++;
     } else if (result instanceof TableWrite.Unsettled) {
       storeDueMillis = nowMillis + STORE_RETRY_MILLIS;
@@ -232,10 +231,11 @@
   /** Takes the answer to an order. */
   public List<KeyEffect> orderEnded(long nowMillis, long order, OrderResult result) {
     settleClocks(nowMillis, order, result);
-    OwnedRange range = orders.remove(order);
-    if (range == null || !range.awaits(order)) {
+    Optional<OwnedRange> open = orders.remove(order).filter(range -> range.awaits(order));
+    if (open.isEmpty()) {
       return drain();
     }
+    OwnedRange range = open.get();
     if (range.phase() == Phase.RELEASING) {
       releaseEnded(nowMillis, range, result);
     } else {
@@ -246,8 +246,8 @@
 
   /** Tells each clock on which a grant is open, as the range may have been split meanwhile. */
   private void settleClocks(long nowMillis, long order, OrderResult result) {
-    ranges.stream()
-        .flatMap(range -> Stream.of(range.owner(), range.previous()))
+    orders
+        .clocks(order)
         .forEach(
             clock -> {
               if (result instanceof OrderResult.Done) {
@@ -292,6 +292,7 @@
                               assignment, OwnedRange.inherited(assignment, grantedUntil)))
                   .toList());
     }
+    orders.follow(ranges.stream());
     loaded = true;
     revision++;
     note("keys-loaded", "version " + version, ranges.all().size() + " ranges");
@@ -303,17 +304,11 @@
     }
     if (range.phase() != Phase.RELEASING
         && range.idle(nowMillis)
-        && openOrders(range.assignment().owner()) < MAX_OPEN_ORDERS) {
+        && orders.at(range.assignment().owner().life()) < MAX_OPEN_ORDERS) {
       grant(nowMillis, range, storeDoubtful);
     }
   }
 
-  private long openOrders(KeyOwner owner) {
-    return orders.values().stream()
-        .filter(open -> open.assignment().owner().life().equals(owner.life()))
-        .count();
-  }
-
   private void release(long nowMillis, OwnedRange range) {
     KeyOwner previous = range.assignment().previous().orElseThrow();
     boolean ended = catalog.ended(previous.life(), previous.address());
@@ -396,7 +391,7 @@
 
   private long order(OwnedRange range, boolean grant) {
     long order = nextOrder++;
-    orders.put(order, range);
+    orders.add(order, range, grant);
     range.ordered(order, grant);
     return order;
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -141,9 +141,7 @@
 
   /** Notes a request that runs on a slot which an earlier coordinator handed out. */
   public void hold(long nowMillis, Ticket ticket, UpstreamId upstream) {
-    catalog
-        .upstream(upstream)
-        .ifPresent(entry -> begin(nowMillis, ticket, entry));
+    catalog.upstream(upstream).ifPresent(entry -> begin(nowMillis, ticket, entry));
   }
 
   private void begin(long nowMillis, Ticket ticket, UpstreamEntry entry) {
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/OpenOrdersTest.java
@@ -0,0 +1,73 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.catalog.UpstreamLife;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Orders without an answer, while ranges are split and joined. */
+final class OpenOrdersTest {
+  private static final KeyOwner OWNER = owner("i-1");
+  private static final KeyOwner OTHER = owner("i-2");
+
+  private final OpenOrders orders = new OpenOrders();
+
+  private static KeyOwner owner(String id) {
+    return new KeyOwner(new UpstreamLife(UpstreamId.of(id), 1), new Address("10.0.0.1", 80), 1);
+  }
+
+  private static KeyAssignment assignment(int first, int last) {
+    return new KeyAssignment(new KeyRange(first, last), OWNER, Optional.empty());
+  }
+
+  private OwnedRange granted(long order, int first, int last) {
+    OwnedRange range = OwnedRange.inherited(assignment(first, last), 0);
+    orders.add(order, range, true);
+    range.owner().sent(0, order, 3_000);
+    return range;
+  }
+
+  // Guards against counting all open orders of a fleet for each range that is due.
+  @Test
+  void ordersAreCountedByTheUpstreamTheyConcern() {
+    granted(1, 0, 9);
+    orders.add(2, granted(3, 10, 19), false);
+    assertThat(orders.at(OWNER.life())).isEqualTo(3);
+    assertThat(orders.at(OTHER.life())).isZero();
+
+    assertThat(orders.remove(2)).isPresent();
+    assertThat(orders.remove(2)).isEmpty();
+    assertThat(orders.at(OWNER.life())).isEqualTo(2);
+  }
+
+  // Guards against telling the clocks of a whole fleet of each answer.
+  @Test
+  void anAnswerConcernsOnlyTheClocksOnWhichItsGrantIsOpen() {
+    OwnedRange first = granted(1, 0, 9);
+    granted(2, 10, 19);
+
+    assertThat(orders.clocks(1)).containsExactly(first.owner());
+  }
+
+  // Guards against keys that nobody may get, since a part of a split range waits for ever.
+  @Test
+  void allPartsOfARangeThatWasJoinedAndSplitAgainWaitForTheAnswer() {
+    OwnedRange first = granted(1, 0, 9);
+    OwnedRange second = granted(2, 10, 19);
+    OwnedRange whole = OwnedRange.merged(assignment(0, 19), List.of(first, second));
+    OwnedRange left = whole.part(new KeyRange(0, 9));
+    OwnedRange right = whole.part(new KeyRange(10, 19));
+
+    orders.follow(Stream.of(left, right));
+    orders.clocks(1).forEach(clock -> clock.unanswered(700, 1));
+    orders.clocks(2).forEach(clock -> clock.answered(5, 2));
+
+    assertThat(left.owner().waiting()).isFalse();
+    assertThat(right.owner().waiting()).isFalse();
+  }
+}
