Look at the upstreams of a pooled service once an ask

For each waiting ask without a key the broker looked up every upstream's load several times, twice more in each comparison, and did so for all waiting asks even when the first of them had found no upstream with room.

It now takes the cheapest in one pass and stops when an ask that may go anywhere finds no room. A look still grows with the upstreams of the one pooled service. The choice is the same: the first of the cheapest.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -196,7 +196,7 @@
 
   /** Hands out slots of all upstreams of a service. */
   private void serve(long nowMillis, ServiceId service) {
-    queue(service).inOrder(nowMillis).forEach(ask -> serve(nowMillis, ask));
+    serve(nowMillis, queue(service).inOrder(nowMillis));
   }
 
   /** Hands out the slots of upstreams whose pause has ended. */
@@ -223,20 +223,35 @@
     if (!queue.waits(server) || server.filter(id -> !free(nowMillis, id)).isPresent()) {
       return;
     }
-    queue.inOrder(nowMillis, server).forEach(ask -> serve(nowMillis, ask));
-  }
-
-  private void serve(long nowMillis, Ask ask) {
-    Optional<UpstreamEntry> chosen =
-        ask.key().isPresent() ? owner(nowMillis, ask) : cheapest(nowMillis, ask);
-    chosen.ifPresent(entry -> give(nowMillis, ask, entry));
+    serve(nowMillis, queue.inOrder(nowMillis, server));
+  }
+
+  private void serve(long nowMillis, List<Ask> inOrder) {
+    boolean full = false;
+    for (Ask ask : inOrder) {
+      if (ask.key().isPresent()) {
+        owner(nowMillis, ask).ifPresent(entry -> give(nowMillis, ask, entry));
+      } else if (!full) {
+        Optional<UpstreamEntry> chosen = cheapest(nowMillis, ask);
+        chosen.ifPresent(entry -> give(nowMillis, ask, entry));
+        full = chosen.isEmpty() && ask.avoid().isEmpty();
+      }
+    }
   }
 
   private Optional<UpstreamEntry> cheapest(long nowMillis, Ask ask) {
-    return catalog.usable(ask.service()).stream()
-        .filter(entry -> !ask.avoid().contains(entry.id()))
-        .filter(entry -> free(nowMillis, entry))
-        .min(Comparator.comparingDouble(entry -> cost(nowMillis, ask, entry)));
+    UpstreamEntry cheapest = null;
+    double least = Double.POSITIVE_INFINITY;
+    for (UpstreamEntry entry : catalog.usable(ask.service())) {
+      if (!ask.avoid().contains(entry.id()) && free(nowMillis, entry)) {
+        double cost = cost(nowMillis, ask, entry);
+        if (cost < least) {
+          cheapest = entry;
+          least = cost;
+        }
+      }
+    }
+    return Optional.ofNullable(cheapest);
   }
 
   private Optional<UpstreamEntry> owner(long nowMillis, Ask ask) {
