Log what coordinating costs a host, and count who chose

Callers of a large fleet were refused while upstreams had room, and the log did not tell whether the coordinator was out of processor time, out of link, or not heard.

While a host coordinates it now writes a line `coordinator-load` about once a second: hosts connected, asks, gives, refusals, orders, asks that wait, bytes told and those of maps of keys, bytes queued, and how late the event loop was at worst. Metrics count bytes to other hosts by kind of message, the worst delay of the event loop in the last second, and choices by who decided. No decision reads any of it.

A refusal by the coordinator was logged as chosen by the host, because the request's mark was set only when a slot was given; it is set before the refusal now. The request ends there, so nothing else reads the mark.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/catalog/FleetConfiguration.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/catalog/FleetConfiguration.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -55,6 +56,11 @@
     return Optional.ofNullable(services.get(id));
   }
 
+  /** Returns the names of all declared services. */
+  public Set<ServiceId> services() {
+    return services.keySet();
+  }
+
   /** Returns the services whose keys have owners. */
   public List<ServiceSpec> keyedServices() {
     return services.values().stream()
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** The work of the coordinator during one term: slots for all hosts, owners for all keys. */
@@ -43,6 +44,10 @@
   private final Map<ServiceId, Long> toldRevision = new HashMap<>();
   private final List<HostEffect> out = new ArrayList<>();
   private long heartbeatDue;
+  private long asks;
+  private long gives;
+  private long refusals;
+  private long orders;
   private long nowMillis;
 
   Coordinator(long nowMillis, long term, HostIdentity self, Catalog catalog) {
@@ -57,6 +62,15 @@
     return term;
   }
 
+  /** Returns what was done in this term. */
+  CoordinatorWork work() {
+    int waiting =
+        catalog.configuration().map(FleetConfiguration::services).orElse(Set.of()).stream()
+            .mapToInt(broker::waiting)
+            .sum();
+    return new CoordinatorWork(term, links.size(), asks, gives, refusals, orders, waiting);
+  }
+
   /** Takes a message of a host. */
   List<HostEffect> receive(long now, LinkId link, HostMessage message) {
     nowMillis = now;
@@ -65,6 +79,7 @@
       keyed.keySet().forEach(service -> tellOwners(link, service));
       tell(link, heartbeat(true));
     } else if (message instanceof HostMessage.Ask ask) {
+      asks++;
       answer(broker.ask(now, ask(now, link, ask)));
     } else if (message instanceof HostMessage.Cancel cancel) {
       answer(broker.cancel(now, new Ticket(link, cancel.ask())));
@@ -188,6 +203,9 @@
                         .with("subject", note.subject())
                         .with("reason", note.reason())));
           } else {
+            boolean order =
+                effect instanceof KeyEffect.Grant || effect instanceof KeyEffect.Release;
+            orders += order ? 1 : 0;
             out.add(new HostEffect.Keys(term, service, effect));
           }
         });
@@ -199,8 +217,10 @@
           LinkId link = effect.ticket().link();
           long ask = effect.ticket().ask();
           if (effect instanceof SlotEffect.Give give) {
+            gives++;
             tell(link, new HostMessage.Give(ask, give.upstream(), give.fence()));
           } else if (effect instanceof SlotEffect.Refuse refuse) {
+            refusals++;
             tell(link, new HostMessage.Refuse(ask, refuse.retryAfterMillis(), refuse.reason()));
           }
         });
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -90,6 +90,11 @@
     return coordinator.isPresent();
   }
 
+  /** Returns what this host has done as the coordinator, or empty if it is not. */
+  public Optional<CoordinatorWork> coordinatorWork() {
+    return coordinator.map(Coordinator::work);
+  }
+
   @Override
   public List<HostEffect> reduce(HostEvent event) {
     apply(event);
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
@@ -14,8 +14,14 @@
    * Send the request to an upstream.
    *
    * @param leftMillis time until its deadline, in milliseconds
+   * @param byCoordinator whether the coordinator chose the upstream, and not this host
    */
-  record Send(RequestRef request, UpstreamEntry upstream, long leftMillis, boolean repeatable)
+  record Send(
+      RequestRef request,
+      UpstreamEntry upstream,
+      long leftMillis,
+      boolean repeatable,
+      boolean byCoordinator)
       implements RequestEffect {}
 
   /** End the attempt that is running; the connection to the upstream is closed. */
@@ -28,8 +34,9 @@
    * Answer the caller.
    *
    * @param retryAfterMillis when to come back, in milliseconds; zero if that is not known
+   * @param byCoordinator whether the coordinator decided or chose last, and not this host
    */
-  record Answer(RequestRef request, OwnAnswer answer, long retryAfterMillis)
+  record Answer(RequestRef request, OwnAnswer answer, long retryAfterMillis, boolean byCoordinator)
       implements RequestEffect {}
 
   /** Forget a request whose caller has left; nothing further is asked for it. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -149,6 +149,7 @@
       long nowMillis, long ask, long retryAfterMillis, String reason) {
     Flight flight = asks.remove(ask);
     if (flight != null && flight.stage == Flight.Stage.ASKING && flight.ask == ask) {
+      flight.byCoordinator = true;
       refuse(nowMillis, flight, retryAfterMillis, reason);
     }
     return drain();
@@ -317,7 +318,11 @@
     local.began(upstream.id());
     out.add(
         new RequestEffect.Send(
-            flight.ref, upstream, flight.deadlineMillis - nowMillis, flight.repeatable()));
+            flight.ref,
+            upstream,
+            flight.deadlineMillis - nowMillis,
+            flight.repeatable(),
+            flight.byCoordinator));
   }
 
   private void free(long nowMillis, Flight flight, AttemptResult result) {
@@ -399,7 +404,7 @@
 
   private void answer(
       long nowMillis, Flight flight, OwnAnswer answer, long retryAfterMillis, String reason) {
-    out.add(new RequestEffect.Answer(flight.ref, answer, retryAfterMillis));
+    out.add(new RequestEffect.Answer(flight.ref, answer, retryAfterMillis, flight.byCoordinator));
     flights.remove(flight.ref);
     out.add(log.failed(nowMillis, flight, answer, retryAfterMillis, reason));
   }
@@ -414,7 +419,7 @@
 
   private void refuseUnrouted(RequestRef ref, RequestHead head, OwnAnswer answer) {
     long retryAfter = answer == OwnAnswer.NOT_READY ? DEFAULT_RETRY_MILLIS : 0;
-    out.add(new RequestEffect.Answer(ref, answer, retryAfter));
+    out.add(new RequestEffect.Answer(ref, answer, retryAfter, false));
     out.add(log.unrouted(head, answer));
   }
 
--- a/host/src/main/java/dev/hornbeamwheel/host/HostMetrics.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostMetrics.java
@@ -1,10 +1,13 @@
 package dev.hornbeamwheel.host;
 
 import dev.hornbeamwheel.core.host.node.HostEffect;
+import dev.hornbeamwheel.core.host.node.HostMessage;
+import dev.hornbeamwheel.core.host.request.OwnAnswer;
 import dev.hornbeamwheel.core.host.request.RequestEffect;
 import dev.hornbeamwheel.core.host.request.RequestRef;
 import dev.hornbeamwheel.runtime.metrics.Metrics;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import java.util.HashMap;
 import java.util.Map;
@@ -19,6 +22,9 @@
   private final Counter attempts;
   private final Counter storeCalls;
   private final Counter orders;
+  private final Counter choices;
+  private final Counter hostBytes;
+  private final Gauge loopDelay;
   private final Histogram latency;
   private final Map<RequestRef, Long> arrived = new HashMap<>();
 
@@ -35,6 +41,21 @@
             "call");
     this.orders =
         metrics.counter("hornbeamwheel_key_orders_total", "Grants and releases of keys.", "order");
+    this.choices =
+        metrics.counter(
+            "hornbeamwheel_choices_total",
+            "Upstreams chosen for requests, and requests refused, by who decided.",
+            "by",
+            "choice");
+    this.hostBytes =
+        metrics.counter(
+            "hornbeamwheel_host_message_bytes_total",
+            "Bytes sent to other hosts by kind of message.",
+            "kind");
+    this.loopDelay =
+        metrics.gauge(
+            "hornbeamwheel_event_loop_delay_milliseconds",
+            "How late the event loop was at worst in the last second.");
     this.latency =
         metrics.histogram(
             "hornbeamwheel_request_duration_seconds",
@@ -54,6 +75,16 @@
     arrived.put(request, nowMillis);
   }
 
+  /** Counts a message to another host. */
+  void sent(HostMessage message, int bytes) {
+    hostBytes.labelValues(message.getClass().getSimpleName()).inc(bytes);
+  }
+
+  /** Notes how late the event loop was. */
+  void loopDelay(long millis) {
+    loopDelay.set((double) millis);
+  }
+
   /** Counts what is carried out. */
   void count(long nowMillis, HostEffect effect) {
     if (effect instanceof HostEffect.Request request) {
@@ -66,17 +97,25 @@
   }
 
   private void count(long nowMillis, RequestEffect effect) {
-    if (effect instanceof RequestEffect.Send) {
+    if (effect instanceof RequestEffect.Send send) {
       attempts.inc();
+      chosen(send.byCoordinator(), "SEND");
     } else if (effect instanceof RequestEffect.PassOn passOn) {
       ended(nowMillis, passOn.request(), "UPSTREAM");
     } else if (effect instanceof RequestEffect.Answer answer) {
       ended(nowMillis, answer.request(), answer.answer().name());
+      if (answer.answer() == OwnAnswer.NO_ROOM) {
+        chosen(answer.byCoordinator(), "REFUSE");
+      }
     } else if (effect instanceof RequestEffect.Forget forget) {
       ended(nowMillis, forget.request(), "CALLER_LEFT");
     }
   }
 
+  private void chosen(boolean byCoordinator, String choice) {
+    choices.labelValues(byCoordinator ? "coordinator" : "host", choice).inc();
+  }
+
   private void ended(long nowMillis, RequestRef request, String answer) {
     requests.labelValues(answer).inc();
     Long since = arrived.remove(request);
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -60,12 +60,14 @@
   private final HostLinks links;
   private final CallerServer callers;
   private final LoopDelay lag;
+  private final CoordinatorLoad load = new CoordinatorLoad();
   private final Deque<HostEvent> events = new ArrayDeque<>();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private boolean busy;
   private long stoppingSinceMillis;
   private long sweepDueMillis;
   private long tickDelayMillis;
+  private long loadSinceMillis;
 
   @Inject
   HostServer(
@@ -87,6 +89,7 @@
         SitePlatform.create(settings.storeAddress(), loop, clock, this::handle, log::write);
     this.links = HostLinks.create(loop, this);
     this.lag = LoopDelay.startingAt(clock.millis());
+    this.loadSinceMillis = clock.millis();
     this.callers =
         new CallerServer(
             loop,
@@ -167,6 +170,12 @@
     handle(new HostEvent.CoordinatorGone(clock.millis(), term));
   }
 
+  @Override
+  public void sent(HostMessage message, int bytes) {
+    metrics.sent(message, bytes);
+    load.sent(message, bytes);
+  }
+
   private void handle(HostEvent event) {
     events.add(event);
     if (busy) {
@@ -230,6 +239,9 @@
     lag.ticked(now, tickDelayMillis);
     scheduleTick();
     handle(new HostEvent.Tick(now));
+    if (now - loadSinceMillis >= CoordinatorLoad.PERIOD_MILLIS) {
+      reportLoad(now);
+    }
     if (now >= sweepDueMillis) {
       sweepDueMillis = now + SWEEP_MILLIS;
       callers.sweep();
@@ -240,6 +252,14 @@
     }
   }
 
+  private void reportLoad(long now) {
+    long delay = lag.takeWorstMillis();
+    metrics.loopDelay(delay);
+    load.end(node.coordinatorWork(), now - loadSinceMillis, links.queuedBytes(), delay)
+        .ifPresent(log::write);
+    loadSinceMillis = now;
+  }
+
   private void beginStop() {
     stoppingSinceMillis = clock.millis();
     handle(new HostEvent.Stopping(stoppingSinceMillis));
--- a/host/src/main/java/dev/hornbeamwheel/host/LoopDelay.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/LoopDelay.java
@@ -13,6 +13,7 @@
 
   private long lastTickMillis;
   private long behindUntilMillis;
+  private long worstMillis;
 
   private LoopDelay(long nowMillis) {
     this.lastTickMillis = nowMillis;
@@ -28,9 +29,17 @@
     if (nowMillis - lastTickMillis > delayMillis + BEHIND_MILLIS) {
       behindUntilMillis = nowMillis + RECOVERY_MILLIS;
     }
+    worstMillis = Math.max(worstMillis, nowMillis - lastTickMillis - delayMillis);
     lastTickMillis = nowMillis;
   }
 
+  /** Returns how late the latest tick since the last call was at worst, in milliseconds. */
+  long takeWorstMillis() {
+    long worst = worstMillis;
+    worstMillis = 0;
+    return worst;
+  }
+
   boolean behind(long nowMillis) {
     return nowMillis < behindUntilMillis || nowMillis - lastTickMillis > STALLED_MILLIS;
   }
--- a/host/src/test/java/dev/hornbeamwheel/host/HostServerTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/HostServerTest.java
@@ -127,6 +127,8 @@
               "hornbeamwheel_store_calls_total",
               "hornbeamwheel_key_orders_total",
               "hornbeamwheel_request_duration_seconds_bucket",
+              "hornbeamwheel_choices_total{by=\"coordinator\",choice=\"SEND\"}",
+              "hornbeamwheel_event_loop_delay_milliseconds",
               "hornbeamwheel_log_lines_dropped_total");
     }
   }
--- a/host/src/test/java/dev/hornbeamwheel/host/LoopDelayTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/LoopDelayTest.java
@@ -36,4 +36,15 @@
     delay.ticked(4_200, TICK_MILLIS);
     assertThat(delay.behind(4_300)).isTrue();
   }
+
+  @Test
+  void theWorstDelayIsToldOnce() {
+    LoopDelay delay = LoopDelay.startingAt(0);
+    delay.ticked(TICK_MILLIS, TICK_MILLIS);
+    delay.ticked(4 * TICK_MILLIS, TICK_MILLIS);
+    delay.ticked(5 * TICK_MILLIS, TICK_MILLIS);
+
+    assertThat(delay.takeWorstMillis()).isEqualTo(2 * TICK_MILLIS);
+    assertThat(delay.takeWorstMillis()).isZero();
+  }
 }
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostLinkListener.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostLinkListener.java
@@ -19,4 +19,7 @@
 
   /** The connection to the coordinator of a term ended, or could not be made. */
   void coordinatorGone(long term);
+
+  /** A message was handed to a connection, as so many bytes. */
+  void sent(HostMessage message, int bytes);
 }
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostLinks.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostLinks.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -138,23 +139,30 @@
     }
   }
 
+  /** Returns the bytes that the operating system has not yet taken for the hosts. */
+  public long queuedBytes() {
+    return hosts.values().stream().mapToLong(HostLinks::pendingBytes).sum();
+  }
+
   /** Closes the connections of all hosts to this one. */
   public void dropHosts() {
     List.copyOf(hosts.values()).forEach(Channels::reset);
   }
 
-  private static void write(Channel channel, HostMessage message) {
-    long pending =
-        channel.unsafe().outboundBuffer() == null
-            ? 0
-            : channel.unsafe().outboundBuffer().totalPendingWriteBytes();
-    if (pending > MAX_PENDING_BYTES) {
+  private void write(Channel channel, HostMessage message) {
+    if (pendingBytes(channel) > MAX_PENDING_BYTES) {
       LOGGER.log(Level.WARNING, "a host does not read; its connection is closed");
       Channels.reset(channel);
       return;
     }
     byte[] bytes = HostMessageMapping.toProto(message).toByteArray();
     Channels.send(channel, Unpooled.wrappedBuffer(bytes));
+    listener.sent(message, bytes.length + FrameFormat.HEADER_BYTES);
+  }
+
+  private static long pendingBytes(Channel channel) {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
   }
 
   private static void addCodec(SocketChannel channel) {
