Tell hosts only the owners of keys that changed

Callers of a large fleet were refused by hosts that heard no coordinator while it was alive. Each time the revision of a keyed service grew, the coordinator sent the whole map of its owners to every host; at 142 hosts and 321 ranges that is about 900 KB, and a confirmed grant, which changes no owner, counted as a change. Heartbeats and slots waited behind the maps on the coordinator's link.

A host gets the whole map once on its connection, then only the ranges whose owners changed, gathered over 200 ms. Neighbours of one owner are told as one range, and nothing is told when no owner changed. All hosts that have the map have the same one, so that no revisions have to be kept for each; a new connection starts with the whole map again.

Tests: after random changes, connections and quiet time every host's map equals the table; one moved range is one message of one entry to each of 142 hosts and less than 100 bytes; a confirmation tells nothing. The size of the old maps is computed from the format, not measured.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -3,7 +3,6 @@
 import dev.hornbeamwheel.core.host.catalog.Catalog;
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
 import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
-import dev.hornbeamwheel.core.host.keys.KeyAssignment;
 import dev.hornbeamwheel.core.host.keys.KeyDemand;
 import dev.hornbeamwheel.core.host.keys.KeyEffect;
 import dev.hornbeamwheel.core.host.keys.KeyedService;
@@ -27,13 +26,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 
 /** The work of the coordinator during one term: slots for all hosts, owners for all keys. */
 final class Coordinator {
   /** Time between two heartbeats to each host, in milliseconds. */
   static final long HEARTBEAT_MILLIS = 200;
 
+  /** Time between two rounds that tell hosts which owners changed, in milliseconds. */
+  static final long TELL_OWNERS_MILLIS = 200;
+
   private final long term;
   private final HostIdentity self;
   private final Catalog catalog;
@@ -41,9 +42,11 @@
   private final Map<LinkId, DataCentreId> links = new LinkedHashMap<>();
   private final Map<ServiceId, KeyedService> keyed = new HashMap<>();
   private final Map<ServiceId, KeyDemand> demands = new HashMap<>();
+  private final Map<ServiceId, ToldOwners> told = new HashMap<>();
   private final Map<ServiceId, Long> toldRevision = new HashMap<>();
   private final List<HostEffect> out = new ArrayList<>();
   private long heartbeatDue;
+  private long tellOwnersDue;
   private long asks;
   private long gives;
   private long refusals;
@@ -76,7 +79,7 @@
     nowMillis = now;
     if (message instanceof HostMessage.Hello hello) {
       links.put(link, hello.dataCentre());
-      keyed.keySet().forEach(service -> tellOwners(link, service));
+      told.values().forEach(owners -> owners.join(link));
       tell(link, heartbeat(true));
     } else if (message instanceof HostMessage.Ask ask) {
       asks++;
@@ -103,6 +106,7 @@
   List<HostEffect> hostGone(long now, LinkId link) {
     nowMillis = now;
     links.remove(link);
+    told.values().forEach(owners -> owners.leave(link));
     answer(broker.dropLink(now, link));
     return drain();
   }
@@ -125,7 +129,10 @@
       keyed.forEach((service, owners) -> perform(service, owners.tick(now, storeDoubtful)));
     }
     answer(broker.tick(now));
-    tellChangedOwners();
+    if (now >= tellOwnersDue) {
+      tellOwnersDue = now + TELL_OWNERS_MILLIS;
+      keyed.forEach(this::tellOwners);
+    }
     if (now >= heartbeatDue) {
       heartbeatDue = now + HEARTBEAT_MILLIS;
       links.keySet().forEach(link -> tell(link, heartbeat(leased)));
@@ -159,6 +166,9 @@
             service -> {
               KeyDemand demand = KeyDemand.none();
               demands.put(service, demand);
+              ToldOwners owners = new ToldOwners(service);
+              links.keySet().forEach(owners::join);
+              told.put(service, owners);
               keyed.put(
                   service,
                   KeyedService.startTerm(
@@ -226,24 +236,12 @@
         });
   }
 
-  private void tellChangedOwners() {
-    keyed.forEach(
-        (service, owners) -> {
-          if (!Long.valueOf(owners.revision()).equals(toldRevision.get(service))) {
-            toldRevision.put(service, owners.revision());
-            links.keySet().forEach(link -> tellOwners(link, service));
-          }
-        });
-  }
-
-  private void tellOwners(LinkId link, ServiceId service) {
-    KeyedService owners = keyed.get(service);
-    if (owners.loaded()) {
-      Map<Integer, UpstreamId> byFirstKey = new TreeMap<>();
-      for (KeyAssignment assignment : owners.owners()) {
-        byFirstKey.put(assignment.range().first(), assignment.owner().life().id());
-      }
-      tell(link, new HostMessage.KeyMap(service, byFirstKey));
+  private void tellOwners(ServiceId service, KeyedService owners) {
+    ToldOwners hosts = told.get(service);
+    boolean changed = !Long.valueOf(owners.revision()).equals(toldRevision.get(service));
+    if (owners.loaded() && (changed || hosts.owesMaps())) {
+      toldRevision.put(service, owners.revision());
+      hosts.round(owners.owners(), this::tell);
     }
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -53,4 +53,13 @@
 
   /** All owners of a service's keys, each under the first key of its range. */
   record KeyMap(ServiceId service, Map<Integer, UpstreamId> byFirstKey) implements HostMessage {}
+
+  /**
+   * What changed of a service's owners since the latest message about them on this connection.
+   *
+   * @param byFirstKey owners that changed, each under the first key of its range
+   * @param joined first keys of former ranges that are part of the range before them
+   */
+  record KeyMapChange(ServiceId service, Map<Integer, UpstreamId> byFirstKey, Set<Integer> joined)
+      implements HostMessage {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -303,6 +303,8 @@
       flow.coordinatorHeard(now, heartbeat.term(), heartbeat.hosts());
     } else if (message instanceof HostMessage.KeyMap map) {
       flow.owners(map.service(), map.byFirstKey());
+    } else if (message instanceof HostMessage.KeyMapChange change) {
+      flow.ownersChanged(change.service(), change.byFirstKey(), change.joined());
     }
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalChoice.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalChoice.java
@@ -3,6 +3,7 @@
 import dev.hornbeamwheel.core.host.catalog.Catalog;
 import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
 import dev.hornbeamwheel.core.host.catalog.UpstreamEntry;
+import dev.hornbeamwheel.core.host.keys.KnownOwners;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
@@ -10,12 +11,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * Chooses an upstream without the coordinator: the better of two, by this host's own requests
@@ -34,7 +33,7 @@
   private final Map<UpstreamId, Integer> running = new HashMap<>();
   private final Map<UpstreamId, Long> unreachableUntil = new HashMap<>();
   private final Map<UpstreamId, Long> coldSentMillis = new HashMap<>();
-  private final Map<ServiceId, NavigableMap<Integer, UpstreamId>> owners = new HashMap<>();
+  private final Map<ServiceId, KnownOwners> owners = new HashMap<>();
   private int hosts = 1;
 
   LocalChoice(Catalog catalog, DataCentreId here, Random random) {
@@ -43,9 +42,9 @@
     this.random = random;
   }
 
-  /** Replaces the owners of a service's keys, each under the first key of its range. */
-  void owners(ServiceId service, Map<Integer, UpstreamId> byFirstKey) {
-    owners.put(service, new TreeMap<>(byFirstKey));
+  /** Returns the known owners of a service's keys, to be changed. */
+  KnownOwners owners(ServiceId service) {
+    return owners.computeIfAbsent(service, id -> KnownOwners.none());
   }
 
   void hosts(int number) {
@@ -103,11 +102,7 @@
   }
 
   private Optional<UpstreamEntry> owner(ServiceId service, int key) {
-    NavigableMap<Integer, UpstreamId> known = owners.getOrDefault(service, new TreeMap<>());
-    Map.Entry<Integer, UpstreamId> range = known.floorEntry(key);
-    return range == null
-        ? Optional.empty()
-        : catalog.upstream(range.getValue()).filter(catalog::usable);
+    return owners(service).owner(key).flatMap(catalog::upstream).filter(catalog::usable);
   }
 
   private boolean room(long nowMillis, UpstreamEntry entry) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * Leads each request of this host from its arrival to its one final answer.
@@ -216,7 +217,18 @@
 
   /** Replaces the known owners of a service's keys, each under the first key of its range. */
   public void owners(ServiceId service, Map<Integer, UpstreamId> byFirstKey) {
-    local.owners(service, byFirstKey);
+    local.owners(service).replace(byFirstKey);
+  }
+
+  /**
+   * Changes some of the known owners of a service's keys.
+   *
+   * @param byFirstKey owners that changed, each under the first key of its range
+   * @param joined first keys of former ranges that are part of the range before them
+   */
+  public void ownersChanged(
+      ServiceId service, Map<Integer, UpstreamId> byFirstKey, Set<Integer> joined) {
+    local.owners(service).change(byFirstKey, joined);
   }
 
   /** Ends what has reached its deadline, and stops waiting for a silent coordinator. */
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/ToldOwnersTest.java
@@ -0,0 +1,173 @@
+package dev.hornbeamwheel.core.host.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.catalog.UpstreamLife;
+import dev.hornbeamwheel.core.host.keys.KeyAssignment;
+import dev.hornbeamwheel.core.host.keys.KeyOwner;
+import dev.hornbeamwheel.core.host.keys.KeyRange;
+import dev.hornbeamwheel.core.host.keys.KnownOwners;
+import dev.hornbeamwheel.core.host.slots.LinkId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/** Each host ends up with the table's owners, at the cost of what changed. */
+final class ToldOwnersTest {
+  private static final ServiceId LEDGER = ServiceId.of("ledger");
+  private static final int HOSTS = 142;
+  private static final int RANGES = 321;
+  private static final int KEYS = KeyRange.MAX_KEY + 1;
+
+  private final ToldOwners told = new ToldOwners(LEDGER);
+  private final Map<LinkId, KnownOwners> hosts = new HashMap<>();
+  private final List<HostMessage> messages = new ArrayList<>();
+  private final TreeMap<Integer, String> table = new TreeMap<>();
+
+  private void connect(long host) {
+    hosts.put(new LinkId(host), KnownOwners.none());
+    told.join(new LinkId(host));
+  }
+
+  private void disconnect(long host) {
+    hosts.remove(new LinkId(host));
+    told.leave(new LinkId(host));
+  }
+
+  private void round() {
+    told.round(assignments(), this::hear);
+  }
+
+  private void hear(LinkId host, HostMessage message) {
+    messages.add(message);
+    if (message instanceof HostMessage.KeyMap map) {
+      hosts.get(host).replace(map.byFirstKey());
+    } else if (message instanceof HostMessage.KeyMapChange change) {
+      hosts.get(host).change(change.byFirstKey(), change.joined());
+    }
+  }
+
+  private List<KeyAssignment> assignments() {
+    List<KeyAssignment> assignments = new ArrayList<>();
+    table.forEach(
+        (first, owner) -> {
+          Integer next = table.higherKey(first);
+          KeyRange range = new KeyRange(first, next == null ? KeyRange.MAX_KEY : next - 1);
+          UpstreamLife life = new UpstreamLife(UpstreamId.of(owner), 1);
+          assignments.add(
+              new KeyAssignment(
+                  range, new KeyOwner(life, new Address("10.0.0.1", 80), 1), Optional.empty()));
+        });
+    return assignments;
+  }
+
+  private void fill() {
+    for (int i = 0; i < RANGES; i++) {
+      table.put(i * (KEYS / RANGES), "i-" + i);
+    }
+  }
+
+  private void quiet() {
+    while (told.owesMaps()) {
+      round();
+    }
+    round();
+    messages.clear();
+  }
+
+  private void assertAllKnowTheTable(int step) {
+    hosts.forEach(
+        (link, owners) -> {
+          for (int key = 0; key < KEYS; key += step) {
+            assertThat(owners.owner(key))
+                .as("owner of key %s at %s", key, link)
+                .contains(UpstreamId.of(table.floorEntry(key).getValue()));
+          }
+        });
+  }
+
+  // Hosts that choose without a coordinator would send keys to those who gave them up.
+  @Property(tries = 200, seed = "2026120411")
+  void hostsKnowTheTableAfterQuietTimeWhateverChanged(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    ToldOwnersTest fresh = new ToldOwnersTest();
+    Random random = new Random(seed);
+    fresh.table.put(0, "i-0");
+    for (int step = 0; step < 200; step++) {
+      switch (random.nextInt(6)) {
+        case 0 -> fresh.connect(random.nextInt(30));
+        case 1 -> fresh.disconnect(random.nextInt(30));
+        case 2, 3 -> fresh.table.put(random.nextInt(64) * 1_024, "i-" + random.nextInt(12));
+        case 4 -> {
+          int first = random.nextInt(63) * 1_024 + 1_024;
+          fresh.table.remove(first);
+        }
+        default -> fresh.round();
+      }
+    }
+
+    fresh.quiet();
+
+    fresh.assertAllKnowTheTable(1_024);
+  }
+
+  // Whole maps for each moved range filled the coordinator's link, and heartbeats came late.
+  @Test
+  void aMovedRangeIsToldAsOneEntryToEachHost() {
+    fill();
+    for (int host = 0; host < HOSTS; host++) {
+      connect(host);
+    }
+    quiet();
+
+    table.put(100 * (KEYS / RANGES), "i-7");
+    round();
+
+    assertThat(messages).hasSize(HOSTS);
+    assertThat(messages)
+        .allSatisfy(
+            message -> {
+              assertThat(message).isInstanceOf(HostMessage.KeyMapChange.class);
+              HostMessage.KeyMapChange change = (HostMessage.KeyMapChange) message;
+              assertThat(change.byFirstKey()).hasSize(1);
+              assertThat(change.joined()).isEmpty();
+            });
+    assertAllKnowTheTable(101);
+  }
+
+  // A confirmed grant changes no owner, but was told to all hosts as if it did.
+  @Test
+  void nothingIsToldWhileNoOwnerChanges() {
+    fill();
+    connect(1);
+    quiet();
+
+    round();
+
+    assertThat(messages).isEmpty();
+  }
+
+  // All hosts connect at once after a change of the coordinator.
+  @Test
+  void fewHostsGetTheWholeMapInOneRound() {
+    fill();
+    for (int host = 0; host < HOSTS; host++) {
+      connect(host);
+    }
+
+    round();
+
+    assertThat(messages).hasSize(ToldOwners.WHOLE_MAPS_PER_ROUND);
+  }
+}
--- a/host/src/main/java/dev/hornbeamwheel/host/CoordinatorLoad.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CoordinatorLoad.java
@@ -17,7 +17,7 @@
   /** Notes a message to another host. */
   void sent(HostMessage message, int bytes) {
     toldBytes += bytes;
-    if (message instanceof HostMessage.KeyMap) {
+    if (message instanceof HostMessage.KeyMap || message instanceof HostMessage.KeyMapChange) {
       keyMapBytes += bytes;
     }
   }
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
@@ -19,6 +19,7 @@
 import dev.hornbeamwheel.proto.host.RefuseBody;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /** Turns the messages between hosts into frames and back. */
@@ -77,7 +78,12 @@
               .setHost(hello.host().value())
               .setDataCentre(hello.dataCentre().value()));
     } else if (message instanceof HostMessage.KeyMap map) {
-      frame.setKeyMap(keyMap(map));
+      frame.setKeyMap(keyMap(map.service(), map.byFirstKey()));
+    } else if (message instanceof HostMessage.KeyMapChange change) {
+      frame.setKeyMap(
+          keyMap(change.service(), change.byFirstKey())
+              .setChanges(true)
+              .addAllJoined(change.joined()));
     }
   }
 
@@ -159,17 +165,15 @@
         body.getWorkPercent());
   }
 
-  private static KeyMapBody keyMap(HostMessage.KeyMap map) {
-    KeyMapBody.Builder body = KeyMapBody.newBuilder().setService(map.service().value());
-    map.byFirstKey()
-        .forEach(
-            (first, upstream) ->
-                body.addRanges(
-                    OwnedRange.newBuilder().setFirst(first).setUpstream(upstream.value())));
-    return body.build();
+  private static KeyMapBody.Builder keyMap(ServiceId service, Map<Integer, UpstreamId> byFirstKey) {
+    KeyMapBody.Builder body = KeyMapBody.newBuilder().setService(service.value());
+    byFirstKey.forEach(
+        (first, upstream) ->
+            body.addRanges(OwnedRange.newBuilder().setFirst(first).setUpstream(upstream.value())));
+    return body;
   }
 
-  private static HostMessage.KeyMap keyMap(KeyMapBody body) {
+  private static HostMessage keyMap(KeyMapBody body) {
     Map<Integer, UpstreamId> byFirstKey =
         body.getRangesList().stream()
             .collect(
@@ -177,7 +181,10 @@
                     OwnedRange::getFirst,
                     range -> UpstreamId.of(range.getUpstream()),
                     (first, second) -> second));
-    return new HostMessage.KeyMap(ServiceId.of(body.getService()), byFirstKey);
+    ServiceId service = ServiceId.of(body.getService());
+    return body.getChanges()
+        ? new HostMessage.KeyMapChange(service, byFirstKey, Set.copyOf(body.getJoinedList()))
+        : new HostMessage.KeyMap(service, byFirstKey);
   }
 
   private static int keyPlusOne(OptionalInt key) {
--- /dev/null
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
@@ -0,0 +1,45 @@
+package dev.hornbeamwheel.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.host.node.HostMessage;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Messages between hosts keep what they say, and stay short where they are many. */
+final class HostMessageMappingTest {
+  /** Greatest size of the word that one range has a new owner, in bytes. */
+  private static final int MOVED_RANGE_BYTES = 100;
+
+  private static final ServiceId LEDGER = ServiceId.of("berth-ledger-of-north");
+
+  private static void assertKept(HostMessage message) throws Exception {
+    assertThat(HostMessageMapping.fromProto(HostMessageMapping.toProto(message)))
+        .isEqualTo(message);
+  }
+
+  @Test
+  void mapsOfKeysAndTheirChangesAreKept() throws Exception {
+    UpstreamId owner = UpstreamId.of("i-4be1f09a2c");
+    assertKept(new HostMessage.KeyMap(LEDGER, Map.of(0, owner, 700, owner)));
+    assertKept(new HostMessage.KeyMapChange(LEDGER, Map.of(65_535, owner), Set.of(1, 17)));
+    assertKept(new HostMessage.KeyMapChange(LEDGER, Map.of(), Set.of(0)));
+  }
+
+  // Each moved range is told to each host; at many hosts, long words fill the link.
+  @Test
+  void aMovedRangeTakesLessThanAHundredBytes() {
+    HostMessage moved =
+        new HostMessage.KeyMapChange(
+            LEDGER,
+            Map.of(60_000, UpstreamId.of("i-4be1f09a2c"), 60_400, UpstreamId.of("i-0c11d27e9b")),
+            Set.of());
+
+    int bytes = HostMessageMapping.toProto(moved).getSerializedSize() + FrameFormat.HEADER_BYTES;
+
+    assertThat(bytes).isLessThan(MOVED_RANGE_BYTES);
+  }
+}
