Let a host take its own lapsed lease again

A deployment of one host never got a coordinator back after the store had been away for longer than the lease. Such a host read its own row, took it for a renewal of its own that had been in doubt, did not count on it since it had lapsed, and read again for ever. With several hosts another one took over, which hid it.

A host counts on its own row only while it leads or the row has not lapsed on the store's clock; a lapsed row of its own is taken over like any other, with a new term.

The new test failed before the change (no lease in 10 s) and passes now.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
@@ -139,7 +139,10 @@
       return drain();
     }
     inDoubt = false;
-    Optional<LeaseRow> own = read.row().filter(this::writtenHere);
+    Optional<LeaseRow> own =
+        read.row()
+            .filter(this::writtenHere)
+            .filter(row -> leading || row.validUntilStoreMillis() > read.storeMillis());
     if (own.isPresent()) {
       version = read.version();
       adopt(askedMillis, read.storeMillis(), own.get());
--- a/core/src/test/java/dev/hornbeamwheel/core/host/lease/CoordinatorLeaseTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/lease/CoordinatorLeaseTest.java
@@ -66,4 +66,18 @@
     assertThat(world.run(10_000)).isEqualTo(1);
     assertThat(world.leaderlessMillis).isLessThanOrEqualTo(TAKEOVER_MILLIS);
   }
+
+  // The only host saw its own lapsed row, and neither counted on it nor took the lease anew.
+  @Test
+  void theOnlyHostTakesItsLapsedLeaseAgain() {
+    LeaseWorld world = new LeaseWorld(1, 5, 0);
+    world.run(5_000);
+    world.storeAway(true);
+    world.run(5_000);
+    world.storeAway(false);
+    world.leaderlessMillis = 0;
+
+    assertThat(world.run(10_000)).isEqualTo(1);
+    assertThat(world.leaderlessMillis).isLessThanOrEqualTo(TAKEOVER_MILLIS);
+  }
 }
