--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -3,7 +3,6 @@
 import dev.hornbeamwheel.core.host.catalog.Catalog;
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
 import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
-import dev.hornbeamwheel.core.host.keys.KeyAssignment;
 import dev.hornbeamwheel.core.host.keys.KeyDemand;
 import dev.hornbeamwheel.core.host.keys.KeyEffect;
 import dev.hornbeamwheel.core.host.keys.KeyedService;
@@ -26,7 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
+import java.util.Set;
 import java.util.function.Function;
 
 /** The work of the coordinator during one term: slots for all hosts, owners for all keys. */
@@ -34,6 +33,9 @@
   /** Time between two heartbeats to each host, in milliseconds. */
   static final long HEARTBEAT_MILLIS = 200;
 
+  /** Time between two rounds that tell hosts which owners changed, in milliseconds. */
+  static final long TELL_OWNERS_MILLIS = 200;
+
   private final long term;
   private final HostIdentity self;
   private final Catalog catalog;
@@ -41,9 +43,15 @@
   private final Map<LinkId, DataCentreId> links = new LinkedHashMap<>();
   private final Map<ServiceId, KeyedService> keyed = new HashMap<>();
   private final Map<ServiceId, KeyDemand> demands = new HashMap<>();
+  private final Map<ServiceId, ToldOwners> told = new HashMap<>();
   private final Map<ServiceId, Long> toldRevision = new HashMap<>();
   private final List<HostEffect> out = new ArrayList<>();
   private long heartbeatDue;
+  private long tellOwnersDue;
+  private long asks;
+  private long gives;
+  private long refusals;
+  private long orders;
   private long nowMillis;
 
   Coordinator(long nowMillis, long term, HostIdentity self, Catalog catalog) {
@@ -58,14 +66,24 @@
     return term;
   }
 
+  /** Returns what was done in this term. */
+  CoordinatorWork work() {
+    int waiting =
+        catalog.configuration().map(FleetConfiguration::services).orElse(Set.of()).stream()
+            .mapToInt(broker::waiting)
+            .sum();
+    return new CoordinatorWork(term, links.size(), asks, gives, refusals, orders, waiting);
+  }
+
   /** Takes a message of a host. */
   List<HostEffect> receive(long now, LinkId link, HostMessage message) {
     nowMillis = now;
     if (message instanceof HostMessage.Hello hello) {
       links.put(link, hello.dataCentre());
-      keyed.keySet().forEach(service -> tellOwners(link, service));
+      told.values().forEach(owners -> owners.join(link));
       tell(link, heartbeat(true));
     } else if (message instanceof HostMessage.Ask ask) {
+      asks++;
       answer(broker.ask(now, ask(now, link, ask)));
     } else if (message instanceof HostMessage.Cancel cancel) {
       answer(broker.cancel(now, new Ticket(link, cancel.ask())));
@@ -89,6 +107,7 @@
   List<HostEffect> hostGone(long now, LinkId link) {
     nowMillis = now;
     links.remove(link);
+    told.values().forEach(owners -> owners.leave(link));
     answer(broker.dropLink(now, link));
     return drain();
   }
@@ -111,7 +130,10 @@
       keyed.forEach((service, owners) -> perform(service, owners.tick(now, storeDoubtful)));
     }
     answer(broker.tick(now));
-    tellChangedOwners();
+    if (now >= tellOwnersDue) {
+      tellOwnersDue = now + TELL_OWNERS_MILLIS;
+      keyed.forEach(this::tellOwners);
+    }
     if (now >= heartbeatDue) {
       heartbeatDue = now + HEARTBEAT_MILLIS;
       links.keySet().forEach(link -> tell(link, heartbeat(leased)));
@@ -153,6 +175,9 @@
             service -> {
               KeyDemand demand = KeyDemand.none();
               demands.put(service, demand);
+              ToldOwners owners = new ToldOwners(service);
+              links.keySet().forEach(owners::join);
+              told.put(service, owners);
               keyed.put(
                   service,
                   KeyedService.startTerm(
@@ -197,6 +222,9 @@
                         .with("subject", note.subject())
                         .with("reason", note.reason())));
           } else {
+            boolean order =
+                effect instanceof KeyEffect.Grant || effect instanceof KeyEffect.Release;
+            orders += order ? 1 : 0;
             out.add(new HostEffect.Keys(term, service, effect));
           }
         });
@@ -208,31 +236,21 @@
           LinkId link = effect.ticket().link();
           long ask = effect.ticket().ask();
           if (effect instanceof SlotEffect.Give give) {
+            gives++;
             tell(link, new HostMessage.Give(ask, give.upstream(), give.fence()));
           } else if (effect instanceof SlotEffect.Refuse refuse) {
+            refusals++;
             tell(link, new HostMessage.Refuse(ask, refuse.retryAfterMillis(), refuse.reason()));
           }
         });
   }
 
-  private void tellChangedOwners() {
-    keyed.forEach(
-        (service, owners) -> {
-          if (!Long.valueOf(owners.revision()).equals(toldRevision.get(service))) {
-            toldRevision.put(service, owners.revision());
-            links.keySet().forEach(link -> tellOwners(link, service));
-          }
-        });
-  }
-
-  private void tellOwners(LinkId link, ServiceId service) {
-    KeyedService owners = keyed.get(service);
-    if (owners.loaded()) {
-      Map<Integer, UpstreamId> byFirstKey = new TreeMap<>();
-      for (KeyAssignment assignment : owners.owners()) {
-        byFirstKey.put(assignment.range().first(), assignment.owner().life().id());
-      }
-      tell(link, new HostMessage.KeyMap(service, byFirstKey));
+  private void tellOwners(ServiceId service, KeyedService owners) {
+    ToldOwners hosts = told.get(service);
+    boolean changed = !Long.valueOf(owners.revision()).equals(toldRevision.get(service));
+    if (owners.loaded() && (changed || hosts.owesMaps())) {
+      toldRevision.put(service, owners.revision());
+      hosts.round(owners.owners(), this::tell);
     }
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * Leads each request of this host from its arrival to its one final answer.
@@ -149,6 +150,7 @@
       long nowMillis, long ask, long retryAfterMillis, String reason) {
     Flight flight = asks.remove(ask);
     if (flight != null && flight.stage == Flight.Stage.ASKING && flight.ask == ask) {
+      flight.byCoordinator = true;
       refuse(nowMillis, flight, retryAfterMillis, reason);
     }
     return drain();
@@ -215,7 +217,18 @@
 
   /** Replaces the known owners of a service's keys, each under the first key of its range. */
   public void owners(ServiceId service, Map<Integer, UpstreamId> byFirstKey) {
-    local.owners(service, byFirstKey);
+    local.owners(service).replace(byFirstKey);
+  }
+
+  /**
+   * Changes some of the known owners of a service's keys.
+   *
+   * @param byFirstKey owners that changed, each under the first key of its range
+   * @param joined first keys of former ranges that are part of the range before them
+   */
+  public void ownersChanged(
+      ServiceId service, Map<Integer, UpstreamId> byFirstKey, Set<Integer> joined) {
+    local.owners(service).change(byFirstKey, joined);
   }
 
   /** Ends what has reached its deadline, and stops waiting for a silent coordinator. */
@@ -317,7 +330,11 @@
     local.began(upstream.id());
     out.add(
         new RequestEffect.Send(
-            flight.ref, upstream, flight.deadlineMillis - nowMillis, flight.repeatable()));
+            flight.ref,
+            upstream,
+            flight.deadlineMillis - nowMillis,
+            flight.repeatable(),
+            flight.byCoordinator));
   }
 
   private void free(long nowMillis, Flight flight, AttemptResult result) {
@@ -399,7 +416,7 @@
 
   private void answer(
       long nowMillis, Flight flight, OwnAnswer answer, long retryAfterMillis, String reason) {
-    out.add(new RequestEffect.Answer(flight.ref, answer, retryAfterMillis));
+    out.add(new RequestEffect.Answer(flight.ref, answer, retryAfterMillis, flight.byCoordinator));
     flights.remove(flight.ref);
     out.add(log.failed(nowMillis, flight, answer, retryAfterMillis, reason));
   }
@@ -414,7 +431,7 @@
 
   private void refuseUnrouted(RequestRef ref, RequestHead head, OwnAnswer answer) {
     long retryAfter = answer == OwnAnswer.NOT_READY ? DEFAULT_RETRY_MILLIS : 0;
-    out.add(new RequestEffect.Answer(ref, answer, retryAfter));
+    out.add(new RequestEffect.Answer(ref, answer, retryAfter, false));
     out.add(log.unrouted(head, answer));
   }
 
