Log why keys are free, when a grant is confirmed and which orders failed

Three lines, no decision changed: keys-free says why the owner before holds a range no more (hold run out, release answered, a later start seen), until when its answered and unanswered grants could have lasted, how many are open, and both fences; keys-granted says that the new owner has confirmed; order-failed names each grant or release without a sure outcome, with its result. Their number is bounded by the hand-overs and by two open orders an upstream.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantClock.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantClock.java
@@ -132,6 +132,21 @@
     return unansweredUntil;
   }
 
+  /** Returns what is known, for a log line; times are counted from now. */
+  String describe(long nowMillis) {
+    return "answered until "
+        + fromNow(nowMillis, answeredUntil)
+        + ", unanswered until "
+        + fromNow(nowMillis, unansweredUntil)
+        + ", "
+        + open.size()
+        + " open";
+  }
+
+  private static String fromNow(long nowMillis, long untilMillis) {
+    return untilMillis == NEVER ? "never" : String.format("%+d ms", untilMillis - nowMillis);
+  }
+
   private static long stretched(long holdMillis) {
     return holdMillis + holdMillis / DRIFT_ONE_IN;
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -59,6 +59,7 @@
   private final long holdMaxMillis;
   private final KeyDemand demand;
   private final UpstreamContact contact = new UpstreamContact();
+  private final KeyNotes notes;
   private final CutOffDataCentres cutOff;
   private final OwnerFitness fitness;
   private final Map<Long, OwnedRange> orders = new HashMap<>();
@@ -82,6 +83,7 @@
   private KeyedService(
       ServiceId service, Catalog catalog, Capacity capacity, KeyDemand demand, long holdMaxMillis) {
     this.service = service;
+    this.notes = new KeyNotes(service);
     this.catalog = catalog;
     this.capacity = capacity;
     this.demand = demand;
@@ -319,6 +321,7 @@
     boolean ended = catalog.ended(previous.life(), previous.address());
     if (range.previous().ended(nowMillis)
         || (range.released() && (ended || nowMillis > range.previous().unansweredUntil()))) {
+      out.add(notes.free(nowMillis, range, ended));
       range.nobodyHolds();
       return;
     }
@@ -333,13 +336,17 @@
   }
 
   private void releaseEnded(long nowMillis, OwnedRange range, OrderResult result) {
+    KeyOwner previous = range.assignment().previous().orElseThrow();
     range.orderEnded(nowMillis + ORDER_RETRY_MILLIS);
     if (result instanceof OrderResult.Done done) {
       range.releasedWith(done.handover());
       release(nowMillis, range);
     } else if (result instanceof OrderResult.Misdirected) {
+      out.add(notes.failed(nowMillis, "release", range, previous, result));
       range.releasedWith(Optional.empty());
       release(nowMillis, range);
+    } else {
+      out.add(notes.failed(nowMillis, "release", range, previous, result));
     }
   }
 
@@ -380,12 +387,14 @@
       range.orderEnded(probed ? nowMillis : nowMillis + RENEW_MILLIS);
       if (range.phase() == Phase.GRANTING) {
         range.held();
+        out.add(notes.granted(nowMillis, range));
         unsettled |= range.assignment().previous().isPresent();
         revision++;
       }
       return;
     }
     range.orderEnded(nowMillis + ORDER_RETRY_MILLIS);
+    out.add(notes.failed(nowMillis, "grant", range, range.assignment().owner(), result));
     if (result instanceof OrderResult.Fenced) {
       range.fencedOff();
       note("keys-fenced", life.id() + " " + range.range(), "a greater fence was seen");
@@ -454,7 +463,7 @@
   }
 
   private void note(String decision, String subject, String reason) {
-    out.add(new KeyEffect.Note(decision, service, subject, reason));
+    out.add(notes.note(decision, subject, reason));
   }
 
   private List<KeyEffect> drain() {
