Group owners by data centre only while some are silent

Each tick grouped all owners of a service by their data centres to see which of these are cut off, forty times a second for every range. Without a silent owner none can be, so that is looked at first.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/CutOffDataCentres.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/CutOffDataCentres.java
@@ -26,6 +26,10 @@
   }
 
   void note(long nowMillis, Collection<KeyOwner> owners, UpstreamContact contact) {
+    if (owners.stream().noneMatch(owner -> contact.suspect(nowMillis, owner.life()))) {
+      sinceMillis.clear();
+      return;
+    }
     Map<DataCentreId, List<KeyOwner>> byDataCentre =
         owners.stream()
             .filter(owner -> dataCentre(owner).isPresent())
