--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/ServiceQueue.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/ServiceQueue.java
@@ -110,19 +110,20 @@
     return inOrder(nowMillis, byServer.getOrDefault(server, Map.of()).values());
   }
 
+  private List<Ask> inOrder(long nowMillis, Collection<Ask> asks) {
+    return asks.size() < 2 ? List.copyOf(asks) : asks.stream().sorted(order(nowMillis)).toList();
+  }
+
   /** Returns how many asks that wait for the same upstream go before the one that came last. */
   int ahead(long nowMillis, Ask last) {
     Comparator<Ask> order = order(nowMillis);
     return (int)
         byServer.getOrDefault(servers.get(last.ticket()), Map.of()).values().stream()
-            .filter(other -> other != last && order.compare(other, last) <= 0)
+            .filter(
+                other -> !other.ticket().equals(last.ticket()) && order.compare(other, last) <= 0)
             .count();
   }
 
-  private List<Ask> inOrder(long nowMillis, Collection<Ask> asks) {
-    return asks.size() < 2 ? List.copyOf(asks) : asks.stream().sorted(order(nowMillis)).toList();
-  }
-
   private Comparator<Ask> order(long nowMillis) {
     return Comparator.comparing((Ask ask) -> !onTime(ask, nowMillis))
         .thenComparingInt(Ask::priority)
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -199,18 +199,6 @@
     serve(nowMillis, queue(service).inOrder(nowMillis));
   }
 
-  /** Hands out the slots of upstreams whose pause has ended. */
-  private void resume(long nowMillis) {
-    while (!resumptions.isEmpty() && resumptions.peek().atMillis() <= nowMillis) {
-      catalog.upstream(resumptions.poll().upstream()).ifPresent(entry -> resume(nowMillis, entry));
-    }
-  }
-
-  private void resume(long nowMillis, UpstreamEntry entry) {
-    noteRate(nowMillis, entry);
-    serve(nowMillis, entry);
-  }
-
   /** Hands out a slot that became free at an upstream. */
   private void serve(long nowMillis, UpstreamEntry freed) {
     serve(nowMillis, freed.service(), Optional.of(freed.id()));
@@ -239,6 +227,18 @@
     }
   }
 
+  /** Hands out the slots of upstreams whose pause has ended. */
+  private void resume(long nowMillis) {
+    while (!resumptions.isEmpty() && resumptions.peek().atMillis() <= nowMillis) {
+      catalog.upstream(resumptions.poll().upstream()).ifPresent(entry -> resume(nowMillis, entry));
+    }
+  }
+
+  private void resume(long nowMillis, UpstreamEntry entry) {
+    noteRate(nowMillis, entry);
+    serve(nowMillis, entry);
+  }
+
   private Optional<UpstreamEntry> cheapest(long nowMillis, Ask ask) {
     UpstreamEntry cheapest = null;
     double least = Double.POSITIVE_INFINITY;
