Never send a call whose connection is noticed after the call's time

What callers could see: two upstreams on the same keys. A grant that needed a connection was sent when the event loop noticed that the connection stood, even if the process had been held up far beyond the call's time: the event comes before the timer that would have ended the call, which is as late. By then another coordinator may be in office and have given the keys on.

Such a call is now reported as not sent. HttpCallerTest failed before: the server read the request 600 ms after a call with 300 ms to go.

--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/CallConnection.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/CallConnection.java
@@ -36,6 +36,7 @@
   private boolean sent;
   private boolean used;
   private boolean spoilt;
+  private long connectingSinceMillis;
   private long idleSinceMillis;
   private long idleLimitMillis = IDLE_MILLIS;
 
@@ -53,6 +54,7 @@
   /** Notes the call for which the connection is being made. */
   void connecting(Channel connectingChannel, Call first, Consumer<CallResult> receiver) {
     channel = connectingChannel;
+    connectingSinceMillis = clock.millis();
     call = first;
     result = receiver;
     startTimeout();
@@ -61,6 +63,9 @@
   void connected(boolean success, Throwable cause) {
     if (call == null) {
       Channels.reset(channel);
+    } else if (success && clock.millis() - connectingSinceMillis >= call.timeoutMillis()) {
+      // The process was busy; the timer that would have ended the call is as late.
+      timedOut();
     } else if (success) {
       send();
     } else {
