Test that a confirmed grant serves the asks that wait for its keys

The broker looks at single upstreams between ticks now, so the coordinator has to tell it when an owner holds its keys. The test fails if the answer of the broker is dropped there.

--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
@@ -0,0 +1,96 @@
+package dev.hornbeamwheel.core.host.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.catalog.CallerLimits;
+import dev.hornbeamwheel.core.host.catalog.Catalog;
+import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
+import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.host.catalog.UpstreamEntry;
+import dev.hornbeamwheel.core.host.catalog.UpstreamLife;
+import dev.hornbeamwheel.core.host.keys.KeyEffect;
+import dev.hornbeamwheel.core.host.keys.OrderResult;
+import dev.hornbeamwheel.core.host.keys.TableRead;
+import dev.hornbeamwheel.core.host.keys.TableWrite;
+import dev.hornbeamwheel.core.host.slots.LinkId;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.HostId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** What the coordinator makes of answers to its orders. */
+final class CoordinatorKeysTest {
+  private static final ServiceId LEDGER = ServiceId.of("stock-ledger");
+  private static final DataCentreId VANNES = DataCentreId.of("vannes");
+  private static final Address ADDRESS = new Address("10.0.0.1", 80);
+  private static final UpstreamId OWNER = UpstreamId.of("i-1");
+  private static final LinkId LINK = new LinkId(1);
+  private static final long TICK_MILLIS = 25;
+
+  private final Catalog catalog = Catalog.empty();
+  private final Coordinator coordinator;
+  private long nowMillis;
+
+  CoordinatorKeysTest() {
+    catalog.configure(
+        FleetConfiguration.of(
+            1,
+            List.of(),
+            List.of(new ServiceSpec(LEDGER, true, "/health", 100, 0)),
+            new CallerLimits(1, 1, 1, 1)));
+    catalog.putUpstream(
+        new UpstreamEntry(new UpstreamLife(OWNER, 1), LEDGER, ADDRESS, VANNES, 2, false, 0));
+    coordinator =
+        new Coordinator(
+            0, 1, new HostIdentity(HostId.of("e-1"), VANNES, ADDRESS, 10_000, 1), catalog);
+    coordinator.receive(0, LINK, new HostMessage.Hello(HostId.of("e-2"), VANNES));
+  }
+
+  /** Ticks until there is an effect of a kind, and returns the last one. */
+  private <T extends KeyEffect> T tickUntil(Class<T> kind) {
+    List<T> found = new ArrayList<>();
+    while (found.isEmpty()) {
+      nowMillis += TICK_MILLIS;
+      assertThat(nowMillis).isLessThan(10_000);
+      keyEffects(coordinator.tick(nowMillis, true, false), kind).forEach(found::add);
+    }
+    return found.get(found.size() - 1);
+  }
+
+  private static <T extends KeyEffect> Stream<T> keyEffects(
+      List<HostEffect> effects, Class<T> kind) {
+    return effects.stream()
+        .filter(HostEffect.Keys.class::isInstance)
+        .map(effect -> ((HostEffect.Keys) effect).effect())
+        .filter(kind::isInstance)
+        .map(kind::cast);
+  }
+
+  // Guards against requests that wait for the next tick although the owner holds their key.
+  @Test
+  void aRequestThatWaitsForAKeyIsSentWhenItsOwnerConfirmsTheGrant() {
+    tickUntil(KeyEffect.ReadTable.class);
+    coordinator.tableRead(nowMillis, LEDGER, new TableRead.Found(Optional.empty(), 0));
+    tickUntil(KeyEffect.WriteTable.class);
+    coordinator.tableWritten(nowMillis, LEDGER, new TableWrite.Written(1));
+    KeyEffect.Grant grant = tickUntil(KeyEffect.Grant.class);
+    HostMessage.Ask ask =
+        new HostMessage.Ask(9, LEDGER, OptionalInt.of(7), 1, 1_200, 600, false, Set.of());
+    assertThat(coordinator.receive(nowMillis, LINK, ask)).isEmpty();
+
+    List<HostEffect> effects =
+        coordinator.orderEnded(
+            nowMillis + 1, LEDGER, grant.order(), new OrderResult.Done(Optional.empty()));
+
+    assertThat(effects)
+        .contains(new HostEffect.Tell(LINK, new HostMessage.Give(9, OWNER, grant.fence())));
+  }
+}
