--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/OpenOrdersTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/OpenOrdersTest.java
@@ -26,7 +26,7 @@
   }
 
   private OwnedRange granted(long order, int first, int last) {
-    OwnedRange range = OwnedRange.inherited(assignment(first, last), 0);
+    OwnedRange range = OwnedRange.inherited(assignment(first, last), GrantClock.grantedUntil(0, 0));
     orders.add(order, range, true);
     range.owner().sent(0, order, 3_000);
     return range;
@@ -67,7 +67,7 @@
     orders.clocks(1).forEach(clock -> clock.unanswered(700, 1));
     orders.clocks(2).forEach(clock -> clock.answered(5, 2));
 
-    assertThat(left.owner().waiting()).isFalse();
-    assertThat(right.owner().waiting()).isFalse();
+    assertThat(left.owner().waiting(1_000)).isFalse();
+    assertThat(right.owner().waiting(1_000)).isFalse();
   }
 }
