Let keyed requests wait while the owner of their key is leaving

Cause: the coordinator gave a request the slot of the owner of its key although that was draining; the host would not send it there and asked again, at once, with the same result. Nothing counted these rounds. On the coordinator's own host they are calls within calls, and ended in a StackOverflowError; Netty closed whatever connection carried the event. HostServer caught RuntimeException only, so no line told of it. Evidence: CoordinatingHostTest before: StackOverflowError, and Give[ask=1, upstream=a] for an ask that avoids a. Class: two parts that decide by rules of their own and retry on the other's decision without bound. Now: a slot of an owner is given only if it is usable and the ask does not avoid it, so the request waits at the coordinator for the next owner.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -256,8 +256,9 @@
 
   private Optional<UpstreamEntry> owner(long nowMillis, Ask ask) {
     return keys.holder(nowMillis, ask.service(), ask.key().orElseThrow())
+        .filter(holder -> !ask.avoid().contains(holder))
         .flatMap(catalog::upstream)
-        .filter(entry -> free(nowMillis, entry));
+        .filter(entry -> catalog.usable(entry) && free(nowMillis, entry));
   }
 
   private boolean free(long nowMillis, UpstreamId upstream) {
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatingHostTest.java
@@ -0,0 +1,194 @@
+package dev.hornbeamwheel.core.host.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.catalog.CallerLimits;
+import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
+import dev.hornbeamwheel.core.host.catalog.RequestKind;
+import dev.hornbeamwheel.core.host.catalog.Route;
+import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.host.catalog.UpstreamEntry;
+import dev.hornbeamwheel.core.host.catalog.UpstreamLife;
+import dev.hornbeamwheel.core.host.catalog.WeightedService;
+import dev.hornbeamwheel.core.host.keys.KeyEffect;
+import dev.hornbeamwheel.core.host.keys.OrderResult;
+import dev.hornbeamwheel.core.host.keys.TableRead;
+import dev.hornbeamwheel.core.host.keys.TableWrite;
+import dev.hornbeamwheel.core.host.lease.LeaseEffect;
+import dev.hornbeamwheel.core.host.lease.LeaseRead;
+import dev.hornbeamwheel.core.host.lease.LeaseWrite;
+import dev.hornbeamwheel.core.host.request.RequestEffect;
+import dev.hornbeamwheel.core.host.request.RequestHead;
+import dev.hornbeamwheel.core.host.request.RequestRef;
+import dev.hornbeamwheel.core.host.slots.LinkId;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.HostId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Requests and links of a host that coordinates. */
+final class CoordinatingHostTest {
+  private static final ServiceId LEDGER = ServiceId.of("stock-ledger");
+  private static final DataCentreId VANNES = DataCentreId.of("vannes");
+  private static final int KEY = 7;
+  private static final LinkId OTHER_HOST = new LinkId(5);
+
+  private final HostNode node =
+      HostNode.create(
+          new HostIdentity(HostId.of("host-1"), VANNES, new Address("10.0.0.1", 7_540), 10_000, 1));
+  private final List<RequestEffect> requests = new ArrayList<>();
+  private final List<HostMessage> told = new ArrayList<>();
+  private boolean tableWritesWait;
+  private Optional<HostEvent> waitingWrite = Optional.empty();
+  private long now = 100_000;
+  private long version = 1;
+
+  private void start() {
+    Route route =
+        new Route(
+            "lookup",
+            "shop.example",
+            "/",
+            RequestKind.IDEMPOTENT,
+            2,
+            3_000,
+            500,
+            0,
+            List.of(new WeightedService(LEDGER, 1)));
+    ServiceSpec ledger = new ServiceSpec(LEDGER, true, "/health", 10, 0);
+    happen(
+        new HostEvent.ConfigurationRead(
+            now,
+            FleetConfiguration.of(
+                1, List.of(route), List.of(ledger), new CallerLimits(1, 1, 1, 1))));
+    happen(new HostEvent.UpstreamsRead(now, List.of(upstream("a", false), upstream("b", false))));
+    pass(5_000);
+    tableWritesWait = true;
+  }
+
+  /** Guards against requests whose process failed over a loop between host and coordinator. */
+  @Test
+  void aRequestWaitsForTheNextOwnerWhileItsOwnerDrains() {
+    start();
+    happen(new HostEvent.UpstreamChanged(now, upstream("a", true)));
+    pass(25);
+    assertThat(waitingWrite).isPresent();
+
+    arrive(1);
+    pass(100);
+    assertThat(sends()).isEmpty();
+
+    tableWritesWait = false;
+    happen(waitingWrite.orElseThrow());
+    pass(100);
+    assertThat(sends())
+        .singleElement()
+        .satisfies(send -> assertThat(send.upstream().id()).isEqualTo(UpstreamId.of("b")));
+  }
+
+  /** Guards against asks that went to and fro at the speed of the link. */
+  @Test
+  void anotherHostIsNotSentToAnOwnerThatItSeesLeaving() {
+    start();
+    happen(new HostEvent.HostSaid(now, OTHER_HOST, new HostMessage.Hello(HostId.of("h"), VANNES)));
+    told.clear();
+
+    happen(
+        new HostEvent.HostSaid(
+            now,
+            OTHER_HOST,
+            new HostMessage.Ask(
+                1, LEDGER, OptionalInt.of(KEY), 0, 2_000, 500, false, Set.of(UpstreamId.of("a")))));
+
+    assertThat(told).noneMatch(message -> message instanceof HostMessage.Give);
+  }
+
+  private void arrive(long number) {
+    happen(
+        new HostEvent.RequestArrived(
+            now,
+            new RequestRef(number),
+            new RequestHead("id-" + number, "shop.example", "/p", OptionalInt.of(KEY), 2_000)));
+  }
+
+  private List<RequestEffect.Send> sends() {
+    return requests.stream()
+        .filter(RequestEffect.Send.class::isInstance)
+        .map(RequestEffect.Send.class::cast)
+        .toList();
+  }
+
+  private static UpstreamEntry upstream(String id, boolean draining) {
+    return new UpstreamEntry(
+        new UpstreamLife(UpstreamId.of(id), 5),
+        LEDGER,
+        new Address("10.0.1." + (int) id.charAt(0), 80),
+        VANNES,
+        4,
+        draining,
+        0);
+  }
+
+  private void pass(long millis) {
+    for (long until = now + millis; now < until; now += 25) {
+      happen(new HostEvent.Tick(now));
+    }
+  }
+
+  private void happen(HostEvent first) {
+    Deque<HostEvent> events = new ArrayDeque<>(List.of(first));
+    while (!events.isEmpty()) {
+      node.reduce(events.poll()).forEach(effect -> carryOut(effect, events));
+    }
+  }
+
+  private void carryOut(HostEffect effect, Deque<HostEvent> events) {
+    if (effect instanceof HostEffect.Request request) {
+      requests.add(request.effect());
+    } else if (effect instanceof HostEffect.Tell tell) {
+      told.add(tell.message());
+    } else if (effect instanceof HostEffect.Lease lease) {
+      events.add(answer(lease.effect()));
+    } else if (effect instanceof HostEffect.Keys keys) {
+      answer(keys, events);
+    }
+  }
+
+  private HostEvent answer(LeaseEffect effect) {
+    return effect instanceof LeaseEffect.Read
+        ? new HostEvent.LeaseReadEnded(now, Optional.of(new LeaseRead(Optional.empty(), 0, now)))
+        : new HostEvent.LeaseWriteEnded(now, new LeaseWrite.Written(++version, now));
+  }
+
+  private void answer(HostEffect.Keys keys, Deque<HostEvent> events) {
+    KeyEffect effect = keys.effect();
+    OrderResult done = new OrderResult.Done(Optional.empty());
+    if (effect instanceof KeyEffect.ReadTable) {
+      events.add(
+          new HostEvent.TableReadEnded(
+              now, keys.term(), LEDGER, new TableRead.Found(Optional.empty(), 0)));
+    } else if (effect instanceof KeyEffect.Grant grant) {
+      events.add(new HostEvent.OrderEnded(now, keys.term(), LEDGER, grant.order(), done));
+    } else if (effect instanceof KeyEffect.Release release) {
+      events.add(new HostEvent.OrderEnded(now, keys.term(), LEDGER, release.order(), done));
+    } else if (effect instanceof KeyEffect.WriteTable) {
+      HostEvent written =
+          new HostEvent.TableWriteEnded(
+              now, keys.term(), LEDGER, new TableWrite.Written(++version));
+      if (tableWritesWait) {
+        waitingWrite = Optional.of(written);
+      } else {
+        events.add(written);
+      }
+    }
+  }
+}
