Hear hosts that join before the coordinator knows that it won

Cause: hosts read a new term in the store and connect. If the answer to the winner's own write is late, their Hello came to a host that did not coordinate yet and was dropped; they stayed connected and never said it again. Now: such a Hello is kept until the host coordinates or the link ends.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -12,7 +12,9 @@
 import dev.hornbeamwheel.core.host.request.RequestFlow;
 import dev.hornbeamwheel.core.host.slots.LinkId;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -47,6 +49,10 @@
 
   private Optional<LeaseRow> announced = Optional.empty();
   private Optional<Coordinator> coordinator = Optional.empty();
+
+  /** Hosts that read in the store that this one won before its own answer told it. */
+  private final Map<LinkId, HostMessage> earlyHellos = new LinkedHashMap<>();
+
   private boolean connected;
   private boolean connecting;
   private long reconnectDue;
@@ -118,7 +124,7 @@
         hear(now, said.message());
       }
     } else if (event instanceof HostEvent.HostSaid said) {
-      coordinator.ifPresent(leader -> lead(now, leader.receive(now, said.link(), said.message())));
+      hostSaid(now, said);
     } else if (event instanceof HostEvent.Stopping) {
       stop(now);
     } else {
@@ -128,6 +134,7 @@
 
   private void applyRare(long now, HostEvent event) {
     if (event instanceof HostEvent.HostGone gone) {
+      earlyHellos.remove(gone.link());
       coordinator.ifPresent(leader -> lead(now, leader.hostGone(now, gone.link())));
     } else if (event instanceof HostEvent.CoordinatorConnected up) {
       coordinatorConnected(now, up.term());
@@ -154,6 +161,14 @@
     }
   }
 
+  private void hostSaid(long now, HostEvent.HostSaid said) {
+    if (coordinator.isPresent()) {
+      lead(now, coordinator.get().receive(now, said.link(), said.message()));
+    } else if (said.message() instanceof HostMessage.Hello) {
+      earlyHellos.put(said.link(), said.message());
+    }
+  }
+
   private void learn(long now, HostEvent event) {
     if (event instanceof HostEvent.ConfigurationRead read) {
       if (catalog.configure(read.configuration())) {
@@ -337,6 +352,9 @@
     announced = Optional.of(new LeaseRow(term, self.host(), self.address(), 0));
     coordinator = Optional.of(new Coordinator(now, term, self, catalog));
     joined(now);
+    Coordinator leader = coordinator.get();
+    earlyHellos.forEach((link, hello) -> lead(now, leader.receive(now, link, hello)));
+    earlyHellos.clear();
   }
 
   private void stop(long now) {
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatingHostTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatingHostTest.java
@@ -112,6 +112,16 @@
     assertThat(told).noneMatch(message -> message instanceof HostMessage.Give);
   }
 
+  /** Guards against hosts that heard nothing for a whole term since they had joined too early. */
+  @Test
+  void aHostThatJoinsBeforeTheLeaseIsKnownToBeWonHearsTheCoordinator() {
+    happen(new HostEvent.HostSaid(now, OTHER_HOST, new HostMessage.Hello(HostId.of("h"), VANNES)));
+
+    start();
+
+    assertThat(told).anyMatch(message -> message instanceof HostMessage.Heartbeat);
+  }
+
   private void arrive(long number) {
     happen(
         new HostEvent.RequestArrived(
