Refuse what may outlast a stopping host, and log every failed step

What callers saw: a request that came late after the signal to stop, on a new connection, was passed on and cut when the process ended (LOST). Cause: nothing in the path of a request knew when the process would end. Now, once connections are being ended, a request whose deadline lies behind that moment is refused at once as not run. Test: aRequestThatMayOutlastTheStoppingHostIsRefusedAtOnce.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
@@ -85,6 +85,11 @@
   record AttemptEnded(long atMillis, RequestRef request, AttemptResult result)
       implements HostEvent {}
 
-  /** The process is to stop once its requests have ended. */
-  record Stopping(long atMillis) implements HostEvent {}
+  /**
+   * The process is to stop once its requests have ended.
+   *
+   * @param lastCallMillis from when on a request that may not end in time is refused
+   * @param endsMillis when the process ends at the latest
+   */
+  record Stopping(long atMillis, long lastCallMillis, long endsMillis) implements HostEvent {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -125,7 +125,8 @@
       }
     } else if (event instanceof HostEvent.HostSaid said) {
       hostSaid(now, said);
-    } else if (event instanceof HostEvent.Stopping) {
+    } else if (event instanceof HostEvent.Stopping stop) {
+      flow.stopping(stop.lastCallMillis(), stop.endsMillis());
       stop(now);
     } else {
       applyRare(now, event);
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -50,6 +50,8 @@
   private boolean coordinatorConnected;
   private long coordinatorHeardMillis = Long.MIN_VALUE / 2;
   private long nextAsk = 1;
+  private long lastCallMillis = Long.MAX_VALUE;
+  private long endsMillis = Long.MAX_VALUE;
 
   private RequestFlow(Catalog catalog, DataCentreId here, long seed) {
     Random random = new Random(seed);
@@ -101,12 +103,27 @@
             keyed,
             nowMillis,
             target(nowMillis, route.get(), head));
+    if (nowMillis >= lastCallMillis && flight.deadlineMillis > endsMillis) {
+      refuseUnrouted(ref, head, OwnAnswer.NOT_READY);
+      return drain();
+    }
     flights.put(ref, flight);
     budget.earn(service);
     seek(nowMillis, flight);
     return drain();
   }
 
+  /**
+   * Notes that the process is stopping.
+   *
+   * @param lastCall from when on a request that may not end in time is refused
+   * @param ends when the process ends at the latest
+   */
+  public void stopping(long lastCall, long ends) {
+    lastCallMillis = lastCall;
+    endsMillis = ends;
+  }
+
   /** Notes that a caller closed its connection before its answer. */
   public List<RequestEffect> callerLeft(long nowMillis, RequestRef ref) {
     Flight flight = flights.get(ref);
--- a/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
@@ -72,10 +72,14 @@
   }
 
   private RequestRef arrive(long number, String path) {
+    return arrive(0, number, path);
+  }
+
+  private RequestRef arrive(long now, long number, String path) {
     RequestRef ref = new RequestRef(number);
     take(
         flow.arrived(
-            0,
+            now,
             ref,
             new RequestHead("id-" + number, "shop.example", path, OptionalInt.empty(), 2_500)));
     return ref;
@@ -100,6 +104,23 @@
     assertThat(all(RequestEffect.Answer.class).get(0).answer()).isEqualTo(OwnAnswer.NOT_READY);
   }
 
+  /** Guards against requests that were cut at an upstream since they came when the host stopped. */
+  @Test
+  void aRequestThatMayOutlastTheStoppingHostIsRefusedAtOnce() {
+    configure();
+    flow.stopping(2_600, 5_400);
+
+    RequestRef inTime = arrive(4_100, 1, "/order/1");
+    RequestRef tooLate = arrive(4_300, 2, "/order/2");
+
+    assertThat(all(RequestEffect.Send.class)).extracting("request").containsExactly(inTime);
+    assertThat(all(RequestEffect.Answer.class))
+        .singleElement()
+        .satisfies(answer -> assertThat(answer.request()).isEqualTo(tooLate))
+        .satisfies(answer -> assertThat(answer.answer()).isEqualTo(OwnAnswer.NOT_READY))
+        .satisfies(answer -> assertThat(answer.retryAfterMillis()).isPositive());
+  }
+
   @Property(tries = 200, seed = "2026120403")
   void anOrderRunsOnceAtMostAndIsCalledUnrunOnlyIfItIs(@ForAll List<Completion> outcomes) {
     RequestFlowTest fresh = new RequestFlowTest();
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -21,7 +21,9 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
@@ -196,12 +198,19 @@
     if (event instanceof HostEvent.RequestArrived arrived) {
       metrics.arrived(arrived.atMillis(), arrived.request());
     }
+    List<HostEffect> effects = new ArrayList<>();
+    guarded(event, () -> effects.addAll(node.reduce(event)));
+    effects.forEach(effect -> guarded(effect, () -> perform(event.atMillis(), effect)));
+  }
+
+  /** Does one step; its failure is logged, and concerns no other event and no other effect. */
+  private void guarded(Object subject, Runnable step) {
     try {
-      node.reduce(event).forEach(effect -> perform(event.atMillis(), effect));
-    } catch (RuntimeException e) {
+      step.run();
+    } catch (RuntimeException | StackOverflowError e) {
       log.write(
           LogEntry.failure("event-failed")
-              .with("kind", event.getClass().getSimpleName())
+              .with("kind", subject.getClass().getSimpleName())
               .with("cause", e + " at " + e.getStackTrace()[0]));
     }
   }
@@ -263,12 +272,16 @@
 
   private void beginStop() {
     stoppingSinceMillis = clock.millis();
-    handle(new HostEvent.Stopping(stoppingSinceMillis));
+    handle(
+        new HostEvent.Stopping(
+            stoppingSinceMillis,
+            stoppingSinceMillis + finishAfterMillis(),
+            stoppingSinceMillis + settings.graceMillis() - STOP_MARGIN_MILLIS));
   }
 
   private void goOnStopping(long now) {
     long since = now - stoppingSinceMillis;
-    if (since < Math.min(FINISH_MILLIS, settings.graceMillis() / 2)) {
+    if (since < finishAfterMillis()) {
       return;
     }
     callers.finish();
@@ -281,6 +294,10 @@
     }
   }
 
+  private long finishAfterMillis() {
+    return Math.min(FINISH_MILLIS, settings.graceMillis() / 2);
+  }
+
   private PageServer.Page readiness(String path) {
     boolean ready = path.equals(CallerProtocol.READINESS_PATH) && node.ready();
     return PageServer.Page.empty(
