Count a caller's idle time from its answer

What callers saw: an answer cut off, or a connection closed at once behind it, when a request took longer than the idle limit (LOST). Cause: only incoming bytes counted as activity, so a caller that had waited longer than the limit was idle when its answer came. Now an answer, and each part of it that the caller takes, counts; a stopping host ends a connection 100 ms after the last activity, so that what the socket has taken can arrive before a close. Test: anAnswerThatTookLongerThanTheIdleLimitArrivesWhole; not run on the code before.

--- a/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
@@ -87,15 +87,15 @@
     return unsent == null ? 0 : unsent.totalPendingWriteBytes();
   }
 
-  /** Returns whether the caller took bytes of an answer since the last call. */
-  boolean sentSome() {
+  /** Returns whether answers are on their way, and the caller took some bytes of late. */
+  boolean sending() {
     ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
     // The total counts a buffer whole until its last byte is sent.
     long first = unsent != null && unsent.current() instanceof ByteBuf b ? b.readableBytes() : 0;
     long left = unsentBytes() + first;
-    boolean less = left < lastUnsent;
+    boolean moved = left != lastUnsent;
     lastUnsent = left;
-    return less;
+    return moved;
   }
 
   /** Returns whether the caller is still connected. */
@@ -111,6 +111,7 @@
   /** Sends the answer of an exchange once all earlier ones are sent. */
   void answer(Exchange exchange, FullHttpResponse response) {
     exchange.answer(response);
+    server.answered(this);
     while (!pending.isEmpty() && pending.peekFirst().answer() != null) {
       send(pending.removeFirst());
     }
--- a/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
@@ -29,6 +29,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -60,6 +61,9 @@
   private static final CallerLimits DEFAULT_LIMITS =
       new CallerLimits(16_384, 1 << 20, 3_000, 15_000);
 
+  /** Time after which bytes that the socket has taken have probably arrived, in milliseconds. */
+  private static final long SETTLED_MILLIS = 100;
+
   private static final int BACKLOG = 512;
 
   /** Time in which the end of a connection is noticed that was there before, in milliseconds. */
@@ -153,6 +157,11 @@
     connections.computeIfAbsent(connection, opened -> new RequestTimer(clock));
   }
 
+  /** Notes that an answer is on its way to the caller. */
+  void answered(CallerConnection connection) {
+    Optional.ofNullable(connections.get(connection)).ifPresent(RequestTimer::active);
+  }
+
   /** Logs a connection that this host is about to close over an answer that is not sent whole. */
   void closing(CallerConnection connection) {
     long unsent = connection.unsentBytes();
@@ -220,7 +229,7 @@
             (connection, timer) -> {
               if (connection.idle() && timer.headLate(now, current.headerTimeoutMillis())) {
                 connection.refuse(HttpResponseStatus.REQUEST_TIMEOUT);
-              } else if (connection.sentSome()) {
+              } else if (connection.sending()) {
                 timer.active();
               } else if (connection.idle() && timer.silent(now, current.idleTimeoutMillis())) {
                 connection.close("the idle limit");
@@ -233,7 +242,8 @@
     Map.copyOf(connections)
         .forEach(
             (connection, timer) -> {
-              if (!timer.receiving()) {
+              boolean settled = timer.silent(clock.millis(), SETTLED_MILLIS);
+              if (!connection.idle() || (settled && !timer.receiving())) {
                 connection.finish();
               }
             });
--- a/host/src/test/java/dev/hornbeamwheel/host/ConnectionEndTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/ConnectionEndTest.java
@@ -73,6 +73,23 @@
     }
   }
 
+  /** Guards against answers that were cut off since their request outlasted the idle limit. */
+  @Test
+  void anAnswerThatTookLongerThanTheIdleLimitArrivesWhole() throws Exception {
+    start();
+    site.desk.forEach(upstream -> upstream.answerWith(LARGE_BYTES));
+    site.desk.forEach(upstream -> upstream.runFor(2 * RUN_MILLIS));
+    shortenIdleLimit(800);
+    try (Socket caller = connect()) {
+      send(caller, ORDER + "\r\n");
+      InputStream answer = caller.getInputStream();
+      long read = answer.readNBytes(1).length;
+      Thread.sleep(RUN_MILLIS);
+
+      assertThat(read + countBytes(answer)).isGreaterThan(LARGE_BYTES);
+    }
+  }
+
   /** Guards against answers that were lost to a reset since the caller had sent more. */
   @Test
   void bytesBehindTheLastRequestDoNotCostItsAnswer() throws Exception {
