Bound what is read of answers, one by one and together

What callers saw: an upstream whose bytes go on without end held a request until its deadline, or until 64 MiB were read; two such answers are more than the host's direct memory of 96 MiB. Bytes on an idle connection were read without a call.

Change: all bytes that arrive for a call are counted, and all of one caller together; the longest answer gives way when the sum is too great, so that short answers beside it arrive. Bytes without a call end the connection at once; a connection with undecoded bytes behind an answer is not kept. One connection gets four reads a turn.

Bounds: the longest answers known have 540,000 bytes, 90,000 on average; 4 MiB is seven times the longest, 24 MiB a quarter of the heap and as much of the direct memory. HttpClientCodec is final; its parts are used in its place.

Not covered: complete answers that wait for callers which read slowly.

--- a/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
@@ -10,6 +10,7 @@
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.time.Clock;
 import dev.hornbeamwheel.platform.site.CallerProtocol;
+import dev.hornbeamwheel.wire.http.AnswerLimits;
 import dev.hornbeamwheel.wire.http.Call;
 import dev.hornbeamwheel.wire.http.CallResult;
 import dev.hornbeamwheel.wire.http.HttpCaller;
@@ -43,8 +44,8 @@
   /** How long to wait for a connection to an upstream, in milliseconds. */
   private static final int CONNECT_MILLIS = 350;
 
-  /** Longest body of an upstream's answer, in bytes. */
-  private static final int MAX_ANSWER_BYTES = 64 << 20;
+  /** Longest answer of an upstream, and all that are being read at a time, in bytes. */
+  private static final AnswerLimits ANSWER_LIMITS = new AnswerLimits(4 << 20, 24 << 20);
 
   /** Longest idle time of a connection for a request that may be repeated, in milliseconds. */
   private static final long REPEATABLE_IDLE_MILLIS = 6_000;
@@ -89,7 +90,7 @@
     this.limits = limits;
     this.stopping = stopping;
     this.behind = behind;
-    this.upstreams = HttpCaller.create(loop, clock, CONNECT_MILLIS, MAX_ANSWER_BYTES);
+    this.upstreams = HttpCaller.create(loop, clock, CONNECT_MILLIS, ANSWER_LIMITS);
   }
 
   static CallerLimits defaultLimits() {
--- /dev/null
+++ b/host/src/test/java/dev/hornbeamwheel/host/EndlessAnswerMemoryTest.java
@@ -0,0 +1,145 @@
+package dev.hornbeamwheel.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.standins.site.Flood;
+import dev.hornbeamwheel.standins.site.FloodingStandin;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Many endless answers at once, at a host process with the memory of the smallest machine. */
+final class EndlessAnswerMemoryTest {
+  private static final Duration START = Duration.ofSeconds(20);
+
+  /** Memory of the smallest machine, in kilobytes. */
+  private static final long MACHINE_KILOBYTES = 282_000;
+
+  /** Body of the longest answer that upstreams mean, in bytes. */
+  private static final int LONGEST_BODY_BYTES = 540_000;
+
+  private static final int CALLS = 40;
+  private static final int ROUNDS = 3;
+  private static final int HOST = 1;
+  private static final Path ARGUMENTS = Path.of("..", "deploy", "host.args");
+
+  @TempDir Path folder;
+
+  /** Guards against a host that ends for want of memory, or serves nobody else meanwhile. */
+  @ParameterizedTest
+  @EnumSource(
+      value = Flood.class,
+      names = {
+        "UNFRAMED_BODY",
+        "CHUNKS",
+        "SMALL_CHUNKS",
+        "CHUNK_EXTENSIONS",
+        "INTERIM_ANSWERS",
+        "OTHER_ANSWERS"
+      })
+  void manyEndlessAnswersAtOnceLeaveTheHostServing(Flood flood) throws Exception {
+    try (SiteFixture site = new SiteFixture(1)) {
+      Process host = startHost(site.secondHostSettings());
+      try (FloodingStandin upstream = site.floodDesk(CALLS)) {
+        awaitListening(site.settings(HOST).callerAddress());
+        assertThat(site.awaitServing(HOST, START)).isTrue();
+        site.ledger.forEach(owner -> owner.pad(LONGEST_BODY_BYTES));
+        upstream.flood(flood);
+
+        ExecutorService callers = Executors.newFixedThreadPool(CALLS);
+        for (int round = 0; round < ROUNDS; round++) {
+          List<CompletableFuture<Integer>> orders =
+              IntStream.range(0, CALLS)
+                  .mapToObj(call -> CompletableFuture.supplyAsync(() -> order(site), callers))
+                  .toList();
+          while (!orders.stream().allMatch(CompletableFuture::isDone)) {
+            HttpResponse<String> lookup = site.lookup(HOST, 17);
+            assertThat(lookup.statusCode()).isEqualTo(200);
+            assertThat(lookup.body()).hasSizeGreaterThan(LONGEST_BODY_BYTES);
+          }
+          assertThat(orders).extracting(CompletableFuture::join).isSubsetOf(502, 503, 504);
+        }
+
+        callers.shutdown();
+        assertThat(upstream.mostFloods()).isGreaterThan(1);
+        assertThat(host.isAlive()).isTrue();
+        assertThat(peakKilobytes(host)).isLessThan(MACHINE_KILOBYTES);
+        assertThat(output()).doesNotContain("OutOfMemory");
+      } finally {
+        host.destroyForcibly().waitFor();
+      }
+    }
+  }
+
+  private static int order(SiteFixture site) {
+    try {
+      HttpResponse<String> answer = site.order(HOST);
+      return answer.statusCode();
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
+  }
+
+  private Process startHost(String settings) throws IOException {
+    Path file = Files.writeString(folder.resolve("host-1.json"), settings);
+    List<String> command = new ArrayList<>(List.of("java"));
+    try (Stream<String> lines = Files.lines(ARGUMENTS)) {
+      lines
+          .filter(line -> line.startsWith("-") && !line.contains("SharedArchiveFile"))
+          .forEach(command::add);
+    }
+    command.addAll(
+        List.of(
+            "-cp",
+            System.getProperty("java.class.path"),
+            "dev.hornbeamwheel.host.HostMain",
+            "--settings",
+            file.toString()));
+    return new ProcessBuilder(command)
+        .redirectErrorStream(true)
+        .redirectOutput(folder.resolve("output").toFile())
+        .start();
+  }
+
+  private static void awaitListening(Address address) throws InterruptedException {
+    long until = System.nanoTime() + START.toNanos();
+    while (System.nanoTime() < until) {
+      try {
+        new Socket(address.host(), address.port()).close();
+        return;
+      } catch (IOException e) {
+        // The process is not up yet.
+        Thread.sleep(50);
+      }
+    }
+  }
+
+  private String output() throws IOException {
+    return Files.readString(folder.resolve("output"));
+  }
+
+  private static long peakKilobytes(Process host) throws IOException {
+    return Files.readAllLines(Path.of("/proc", Long.toString(host.pid()), "status")).stream()
+        .filter(line -> line.startsWith("VmHWM:"))
+        .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+        .findFirst()
+        .orElseThrow();
+  }
+}
--- /dev/null
+++ b/host/src/test/java/dev/hornbeamwheel/host/HttpCallerTest.java
@@ -0,0 +1,119 @@
+package dev.hornbeamwheel.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.standins.site.Flood;
+import dev.hornbeamwheel.standins.site.FloodingStandin;
+import dev.hornbeamwheel.wire.http.AnswerLimits;
+import dev.hornbeamwheel.wire.http.Call;
+import dev.hornbeamwheel.wire.http.CallResult;
+import dev.hornbeamwheel.wire.http.HttpCaller;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Calls over real connections, and the bound over all answers that are read at a time. */
+final class HttpCallerTest {
+  private static final int CONNECT_MILLIS = 1_000;
+  private static final long CALL_MILLIS = 20_000;
+  private static final int ANSWER_BYTES = 64 << 20;
+  private static final int TOTAL_BYTES = 1 << 20;
+
+  /** All answers that are read, and what two sockets hold for each of three calls, in bytes. */
+  private static final long MAX_SENT_BYTES = 48 << 20;
+
+  private final EventLoopGroup loop = HostModule.loop();
+  private final HttpCaller caller =
+      HttpCaller.create(
+          loop, HostModule.clock(), CONNECT_MILLIS, new AnswerLimits(ANSWER_BYTES, TOTAL_BYTES));
+  private FloodingStandin bad;
+  private FloodingStandin good;
+
+  @BeforeEach
+  void start() throws IOException {
+    bad = FloodingStandin.start();
+    good = FloodingStandin.start();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    bad.close();
+    good.close();
+    var unused = loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** Guards against answers that are each within their bound, and together more than memory. */
+  @Test
+  void answersThatTogetherAreTooLongEndAsBroken() throws Exception {
+    bad.flood(Flood.UNFRAMED_BODY);
+
+    List<CompletableFuture<CallResult>> calls = Stream.generate(() -> call(bad)).limit(3).toList();
+
+    for (CompletableFuture<CallResult> call : calls) {
+      assertThat(call.get(CALL_MILLIS, TimeUnit.MILLISECONDS))
+          .isInstanceOf(CallResult.Broken.class);
+    }
+    assertThat(bad.sentBytes()).isLessThan(MAX_SENT_BYTES);
+  }
+
+  /** Guards against short answers that fail because of a long one beside them. */
+  @Test
+  void shortAnswersArriveBesideOnesThatAreTooLong() throws Exception {
+    bad.flood(Flood.UNFRAMED_BODY);
+
+    for (int i = 0; i < 20; i++) {
+      CompletableFuture<CallResult> endless = call(bad);
+      CompletableFuture<CallResult> whole = call(good);
+
+      assertThat(whole.get(CALL_MILLIS, TimeUnit.MILLISECONDS))
+          .isInstanceOfSatisfying(
+              CallResult.Answered.class,
+              answered -> assertThat(answered.response().release()).isTrue());
+      assertThat(endless.get(CALL_MILLIS, TimeUnit.MILLISECONDS))
+          .isInstanceOf(CallResult.Broken.class);
+    }
+  }
+
+  /** Guards against a body that is waited for, or taken for the next answer. */
+  @Test
+  void theAnswerToHeadHasNoBody() throws Exception {
+    for (int i = 0; i < 2; i++) {
+      assertThat(call(good, HttpMethod.HEAD).get(CALL_MILLIS, TimeUnit.MILLISECONDS))
+          .isInstanceOfSatisfying(
+              CallResult.Answered.class,
+              answered -> {
+                assertThat(answered.response().content().readableBytes()).isZero();
+                answered.response().release();
+              });
+    }
+  }
+
+  private CompletableFuture<CallResult> call(FloodingStandin server) {
+    return call(server, HttpMethod.GET);
+  }
+
+  private CompletableFuture<CallResult> call(FloodingStandin server, HttpMethod method) {
+    Address address = new Address("127.0.0.1", server.port());
+    DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/");
+    request.headers().set(HttpHeaderNames.HOST, address.toString());
+    CompletableFuture<CallResult> result = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          var unused =
+              caller.call(
+                  new Call(address, request, CALL_MILLIS, 0, answer -> true), result::complete);
+        });
+    return result;
+  }
+}
--- a/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
@@ -4,6 +4,7 @@
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.standins.site.FaultyUpstreamStandin;
+import dev.hornbeamwheel.standins.site.FloodingStandin;
 import dev.hornbeamwheel.standins.site.KeyedUpstreamStandin;
 import dev.hornbeamwheel.standins.site.SiteCaller;
 import dev.hornbeamwheel.standins.site.StoreStandin;
@@ -13,6 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 
 /** A store, three keyed and two pooled upstreams, and entry hosts, on the loopback address. */
 final class SiteFixture implements AutoCloseable {
@@ -50,13 +52,35 @@
   /** Puts one upstream with damaged answers in the place of the pooled ones. */
   FaultyUpstreamStandin replaceDesk() throws IOException {
     FaultyUpstreamStandin upstream = FaultyUpstreamStandin.start();
-    for (int i = 0; i < desk.size(); i++) {
-      store.put("servers", "i-desk-" + i, desk.get(i).registration("desk", DATA_CENTRES[i], true));
-    }
+    IntStream.range(0, desk.size()).forEach(this::drainDesk);
     store.put("servers", "i-desk-faulty", upstream.registration("desk", DATA_CENTRES[0]));
     return upstream;
   }
 
+  /** Puts one upstream whose answers may not end in the place of the pooled ones. */
+  FloodingStandin floodDesk(int slots) throws IOException {
+    IntStream.range(0, desk.size()).forEach(this::drainDesk);
+    return addFlooding("desk", slots);
+  }
+
+  /** Adds an upstream whose answers may not end. */
+  FloodingStandin addFlooding(String service, int slots) throws IOException {
+    FloodingStandin upstream = FloodingStandin.start();
+    store.put(
+        "servers",
+        "i-" + service + "-flooding",
+        upstream.registration(service, DATA_CENTRES[0], slots));
+    return upstream;
+  }
+
+  /** Lets one of the pooled upstreams say that it leaves. */
+  void drainDesk(int place) {
+    store.put(
+        "servers",
+        "i-desk-" + place,
+        desk.get(place).registration("desk", DATA_CENTRES[place], true));
+  }
+
   /** Returns how many orders the pooled upstreams have run. */
   int orderRuns() {
     return desk.stream().mapToInt(KeyedUpstreamStandin::runs).sum();
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/FaultyUpstreamStandin.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/FaultyUpstreamStandin.java
@@ -9,7 +9,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -19,7 +18,6 @@
   public static final String BODY = "booked";
 
   private static final String ATTEMPT_HEADER = "x-hornbeamwheel-request-attempt-id";
-  private static final int MAX_HEAD_BYTES = 65_536;
 
   /** What happens to an answer. */
   public enum Fault {
@@ -106,10 +104,9 @@
   private void serve(Socket socket) {
     try (socket) {
       InputStream in = new BufferedInputStream(socket.getInputStream());
-      for (String head = head(in); !head.isEmpty(); head = head(in)) {
-        in.skipNBytes(Long.parseLong("0" + header(head, "content-length")));
+      for (RawRequest next = RawRequest.read(in); next != null; next = RawRequest.read(in)) {
         runs.incrementAndGet();
-        if (!answer(socket, header(head, ATTEMPT_HEADER))) {
+        if (!answer(socket, next.header(ATTEMPT_HEADER))) {
           return;
         }
       }
@@ -156,25 +153,4 @@
     out.write(text.getBytes(StandardCharsets.ISO_8859_1));
     out.flush();
   }
-
-  /** Reads up to the blank line; empty at the end of the connection. */
-  private static String head(InputStream in) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0 && head.length() < MAX_HEAD_BYTES) {
-      int next = in.read();
-      if (next < 0) {
-        return "";
-      }
-      head.append((char) next);
-    }
-    return head.toString();
-  }
-
-  private static String header(String head, String name) {
-    return head.lines()
-        .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(name + ":"))
-        .map(line -> line.substring(name.length() + 1).trim())
-        .findFirst()
-        .orElse("");
-  }
 }
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/KeyedUpstreamStandin.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/KeyedUpstreamStandin.java
@@ -52,6 +52,7 @@
   private final List<Hold> holds = new CopyOnWriteArrayList<>();
   private final AtomicInteger runs = new AtomicInteger();
   private volatile Behaviour behaviour = Behaviour.SERVE;
+  private volatile int paddingBytes;
 
   private KeyedUpstreamStandin(String id, boolean keyed) {
     this.id = id;
@@ -84,6 +85,11 @@
     behaviour = next;
   }
 
+  /** Makes each answer longer by so many bytes. */
+  public void pad(int bytes) {
+    paddingBytes = bytes;
+  }
+
   /** Returns how many requests it has begun to run. */
   public int runs() {
     return runs.get();
@@ -141,9 +147,8 @@
     }
     exchange.getResponseHeaders().put(SIGNATURE, "3e1b.07.5a2.600.0.c9f2a4d1");
     exchange.getResponseHeaders().put(LOAD, "1,0,2,100");
-    exchange
-        .getOutputStream()
-        .write((id + " served " + exchange.getRequestPath()).getBytes(StandardCharsets.UTF_8));
+    String body = id + " served " + exchange.getRequestPath() + ".".repeat(paddingBytes);
+    exchange.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
   }
 
   private static JsonNode body(HttpServerExchange exchange) throws IOException {
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/CallConnection.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/CallConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,9 @@
   private final HttpCaller owner;
   private final Clock clock;
   private final Address address;
+  private final AnswerLimits limits;
+  private final IncomingAnswers incoming;
+  private final AnswerDecoder decoder = new AnswerDecoder(this);
   private Channel channel;
   private Call call;
   private Consumer<CallResult> result;
@@ -36,20 +40,63 @@
   private boolean sent;
   private boolean used;
   private boolean spoilt;
+  private int receivedBytes;
   private long idleSinceMillis;
   private long idleLimitMillis = IDLE_MILLIS;
 
-  CallConnection(HttpCaller owner, Clock clock, Address address) {
+  CallConnection(
+      HttpCaller owner,
+      Clock clock,
+      Address address,
+      AnswerLimits limits,
+      IncomingAnswers incoming) {
     super(false);
     this.owner = owner;
     this.clock = clock;
     this.address = address;
+    this.limits = limits;
+    this.incoming = incoming;
   }
 
   Address address() {
     return address;
   }
 
+  /** Returns what reads the answers on this connection. */
+  AnswerDecoder decoder() {
+    return decoder;
+  }
+
+  /** Returns how many bytes have arrived for the call. */
+  int receivedBytes() {
+    return receivedBytes;
+  }
+
+  /** Returns whether the answer to the call has no body, whatever its head says. */
+  boolean asksForHead() {
+    return call != null && call.request().method().equals(HttpMethod.HEAD);
+  }
+
+  /** Counts bytes that arrived; returns whether they are to be read. */
+  boolean received(int bytes) {
+    if (call == null) {
+      spoilt = true;
+      Channels.reset(channel);
+      return false;
+    }
+    receivedBytes += bytes;
+    incoming.add(this, bytes);
+    if (call != null && receivedBytes > limits.answerBytes()) {
+      fail(new CallResult.Broken("more than " + limits.answerBytes() + " bytes for one answer"));
+    }
+    return call != null;
+  }
+
+  /** Ends the call, because all answers together are too long. */
+  void giveWay() {
+    fail(new CallResult.Broken("too many bytes of answers that are being read"));
+  }
+
   /** Notes the call for which the connection is being made. */
   void connecting(Channel connectingChannel, Call first, Consumer<CallResult> receiver) {
     channel = connectingChannel;
@@ -74,6 +121,7 @@
     call = next;
     result = receiver;
     used = true;
+    decoder.callStarted();
     startTimeout();
     send();
   }
@@ -151,6 +199,7 @@
             && framed
             && HttpUtil.isKeepAlive(response)
             && HttpUtil.isKeepAlive(call.request())
+            && !decoder.hasUndecoded()
             && channel.isActive();
     if (keep) {
       noteIdleLimit(response);
@@ -219,6 +268,8 @@
 
   private void clear() {
     var unused = timeout.cancel(false);
+    incoming.remove(this);
+    receivedBytes = 0;
     call = null;
     result = null;
     sent = false;
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/HttpCaller.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/HttpCaller.java
@@ -4,15 +4,17 @@
 import dev.hornbeamwheel.core.time.Clock;
 import dev.hornbeamwheel.wire.Channels;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -29,28 +31,36 @@
   /** Most idle connections that are kept to one address. */
   private static final int MAX_IDLE = 4;
 
+  /** Reads of one connection before the others have their turn. */
+  private static final int READS_PER_TURN = 4;
+
+  private static final RecvByteBufAllocator READS =
+      new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS_PER_TURN);
+
   private final EventLoopGroup loop;
   private final Clock clock;
   private final int connectMillis;
-  private final int maxAnswerBytes;
+  private final AnswerLimits limits;
+  private final IncomingAnswers incoming;
   private final Map<Address, Deque<CallConnection>> idle = new HashMap<>();
 
-  private HttpCaller(EventLoopGroup loop, Clock clock, int connectMillis, int maxAnswerBytes) {
+  private HttpCaller(EventLoopGroup loop, Clock clock, int connectMillis, AnswerLimits limits) {
     this.loop = loop;
     this.clock = clock;
     this.connectMillis = connectMillis;
-    this.maxAnswerBytes = maxAnswerBytes;
+    this.limits = limits;
+    this.incoming = new IncomingAnswers(limits.totalBytes());
   }
 
   /**
    * Returns a caller without connections.
    *
    * @param connectMillis how long to wait for a connection, in milliseconds
-   * @param maxAnswerBytes longest body of an answer, in bytes
+   * @param limits how much is read; a call whose answer is more than that ends as broken
    */
   public static HttpCaller create(
-      EventLoopGroup loop, Clock clock, int connectMillis, int maxAnswerBytes) {
-    return new HttpCaller(loop, clock, connectMillis, maxAnswerBytes);
+      EventLoopGroup loop, Clock clock, int connectMillis, AnswerLimits limits) {
+    return new HttpCaller(loop, clock, connectMillis, limits);
   }
 
   /** Starts a call; its result is reported once, on the thread of the event loop. */
@@ -122,7 +132,7 @@
   }
 
   private CallHandle connect(Call call, Consumer<CallResult> result) {
-    CallConnection connection = new CallConnection(this, clock, call.address());
+    CallConnection connection = new CallConnection(this, clock, call.address(), limits, incoming);
     Bootstrap bootstrap = new Bootstrap();
     Channels.addKeepAlive(bootstrap);
     ChannelFuture connecting =
@@ -130,6 +140,7 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, READS)
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 (int) Math.max(1, Math.min(connectMillis, call.timeoutMillis())))
@@ -150,8 +161,9 @@
   private void addCodec(Channel channel, CallConnection connection) {
     channel
         .pipeline()
-        .addLast(new HttpClientCodec())
-        .addLast(new HttpObjectAggregator(maxAnswerBytes))
+        .addLast(new HttpRequestEncoder())
+        .addLast(connection.decoder())
+        .addLast(new HttpObjectAggregator(limits.answerBytes()))
         .addLast(connection);
   }
 }
