--- a/host/src/test/java/dev/hornbeamwheel/host/ConnectionEndTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/ConnectionEndTest.java
@@ -21,7 +21,12 @@
 final class ConnectionEndTest {
   private static final Duration START = Duration.ofSeconds(20);
   private static final long GRACE_MILLIS = 6_000;
-  private static final int LARGE_BYTES = 8 << 20;
+  private static final int ANSWER_BYTES = 7 << 19;
+  private static final int ORDERS = 3;
+
+  /** All answers of a test together: more than the buffers of a socket take. */
+  private static final int LARGE_BYTES = ORDERS * ANSWER_BYTES;
+
   private static final int SMALL_BUFFER_BYTES = 8 << 10;
   private static final long RUN_MILLIS = 600;
   private static final int READ_LIMIT_MILLIS = 5_000;
@@ -39,9 +44,9 @@
   @Test
   void anAnswerThatIsReadSlowlyArrivesWholeWhileTheHostStops() throws Exception {
     start();
-    site.desk.forEach(upstream -> upstream.answerWith(LARGE_BYTES));
+    site.desk.forEach(upstream -> upstream.answerWith(ANSWER_BYTES));
     try (Socket caller = connect()) {
-      send(caller, ORDER + "\r\n");
+      send(caller, (ORDER + "\r\n").repeat(ORDERS));
       InputStream answer = caller.getInputStream();
       int status = answer.read();
 
@@ -58,10 +63,10 @@
   @Test
   void anAnswerThatIsReadSlowlyOutlastsTheIdleLimit() throws Exception {
     start();
-    site.desk.forEach(upstream -> upstream.answerWith(LARGE_BYTES));
+    site.desk.forEach(upstream -> upstream.answerWith(ANSWER_BYTES));
     shortenIdleLimit(1_000);
     try (Socket caller = connect()) {
-      send(caller, ORDER + "\r\n");
+      send(caller, (ORDER + "\r\n").repeat(ORDERS));
       InputStream answer = caller.getInputStream();
       long read = 0;
       for (int i = 0; i < 10; i++) {
@@ -77,11 +82,11 @@
   @Test
   void anAnswerThatTookLongerThanTheIdleLimitArrivesWhole() throws Exception {
     start();
-    site.desk.forEach(upstream -> upstream.answerWith(LARGE_BYTES));
+    site.desk.forEach(upstream -> upstream.answerWith(ANSWER_BYTES));
     site.desk.forEach(upstream -> upstream.runFor(2 * RUN_MILLIS));
     shortenIdleLimit(800);
     try (Socket caller = connect()) {
-      send(caller, ORDER + "\r\n");
+      send(caller, (ORDER + "\r\n").repeat(ORDERS));
       InputStream answer = caller.getInputStream();
       long read = answer.readNBytes(1).length;
       Thread.sleep(RUN_MILLIS);
@@ -94,9 +99,9 @@
   @Test
   void bytesBehindTheLastRequestDoNotCostItsAnswer() throws Exception {
     start();
-    site.desk.forEach(upstream -> upstream.answerWith(LARGE_BYTES));
+    site.desk.forEach(upstream -> upstream.answerWith(ANSWER_BYTES));
     try (Socket caller = connect()) {
-      send(caller, ORDER + "Connection: close\r\n\r\n");
+      send(caller, (ORDER + "\r\n").repeat(ORDERS - 1) + ORDER + "Connection: close\r\n\r\n");
       InputStream answer = caller.getInputStream();
       long read = answer.readNBytes(LARGE_BYTES - SMALL_BUFFER_BYTES).length;
       Thread.sleep(200);
