Leave coordinating to hosts that can bear it

Callers of a large fleet of unlike hosts were refused while upstreams had room. The lease goes to whichever host writes first, and most hosts of that fleet have a seventh of the processor and a twentieth of the link of the strongest ones.

Settings tell a host's processor and link, both together its capacity; hosts tell it with their first message, and heartbeats tell the greatest. A host with less than two thirds of that leaves a lapsed lease to others for 600 ms, counted on the store's clock from the end in the row. A coordinator that is as much weaker than a host which is connected steadily ends its lease in the row, while no keys change their owner and the store answers, and tells the hosts; strong ones challenge at once.

Nobody does another hand-over for 60 s after one, so that a strong host that does not reach the store cannot make terms change all the time.

Only the row decides, as before. A holder that hands over never counts on that term again, whatever it reads later, because a write in doubt may end the row after that. The row now ends at a time that has surely passed on the store's clock instead of at zero, also when a host stops, so that weak hosts can tell how long it has been free. Where capacities are equal or not told, who challenges when is unchanged, but for a host that tells its capacity and has heard no heartbeat since its start.

Tests in virtual time: a strong host coordinates whatever the order of starts, and keeps on; weak ones take over within the usual time plus 600 ms when all strong ones are lost; equal hosts as before; at most one holder under hand-overs, lost and late answers and suspensions. Not tested: hand-overs while requests run over real connections.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -113,6 +113,11 @@
     return revision;
   }
 
+  /** Returns whether no keys are about to change their owner. */
+  public boolean settled() {
+    return loaded && !storeBusy && ranges.stream().allMatch(range -> range.phase() == Phase.HELD);
+  }
+
   /** Returns whether the table has been read in this term. */
   public boolean loaded() {
     return loaded;
--- a/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
@@ -35,6 +35,9 @@
   /** Pause between two challenges while the store fails or another host holds the lease. */
   private static final long CHALLENGE_PAUSE_MILLIS = 700;
 
+  /** A host that yields to others looks so often whether one took over, in milliseconds. */
+  private static final long YIELD_LOOK_MILLIS = 200;
+
   private final HostId self;
   private final Address address;
   private final Random random;
@@ -47,11 +50,15 @@
   private long validUntilStore;
   private long storeMillis;
   private long storeAskedMillis;
+  private long storeAnsweredMillis;
   private long callSentMillis = -1;
   private boolean inDoubt;
   private LeaseRow proposed;
   private long renewDue;
+  private boolean handingOver;
+  private boolean abandoned;
   private boolean wanted;
+  private long yieldMillis;
   private long challengeDue;
 
   private CoordinatorLease(HostId self, Address address, long seed) {
@@ -88,6 +95,16 @@
 
   /** Asks to take the lease over as soon as it has lapsed; called while no coordinator is heard. */
   public List<LeaseEffect> challenge(long nowMillis) {
+    return challenge(nowMillis, 0);
+  }
+
+  /**
+   * The same for a host that leaves the lease to others for a time after it has lapsed.
+   *
+   * @param yield length of that time, in milliseconds
+   */
+  public List<LeaseEffect> challenge(long nowMillis, long yield) {
+    yieldMillis = yield;
     if (!wanted && !leading && !givingUp) {
       wanted = true;
       challengeDue = Math.max(challengeDue, nowMillis + random.nextInt(CHALLENGE_SPREAD_MILLIS));
@@ -126,11 +143,34 @@
     wanted = false;
     if (leading) {
       lose("this host is stopping");
-      write(nowMillis, new LeaseRow(term, self, address, 0));
+      write(nowMillis, lapsedRow(nowMillis));
+    }
+    return drain();
+  }
+
+  /**
+   * Gives the lease up for a stronger host; nothing happens while a call to the store is open.
+   *
+   * <p>{@link LeaseEffect.HandedOver} follows when the row says so. If the write fails, the lease
+   * lapses as if this host were lost.
+   */
+  public List<LeaseEffect> handOver(long nowMillis) {
+    if (leading(nowMillis) && callSentMillis < 0 && !inDoubt) {
+      lose("a stronger host is to coordinate");
+      handingOver = true;
+      // A write in doubt may end the row late: this term can never be counted on again.
+      abandoned = true;
+      write(nowMillis, lapsedRow(nowMillis));
     }
     return drain();
   }
 
+  /** Returns the row of this term with an end that has surely passed on the store's clock. */
+  private LeaseRow lapsedRow(long nowMillis) {
+    long surelyPassed = storeMillis + nowMillis - storeAnsweredMillis;
+    return new LeaseRow(term, self, address, surelyPassed - 1);
+  }
+
   /** Takes the answer to {@link LeaseEffect.Read}. */
   public List<LeaseEffect> read(long nowMillis, LeaseRead read) {
     long askedMillis = callSentMillis;
@@ -142,10 +182,11 @@
     Optional<LeaseRow> own =
         read.row()
             .filter(this::writtenHere)
-            .filter(row -> leading || row.validUntilStoreMillis() > read.storeMillis());
+            .filter(row -> leading || row.validUntilStoreMillis() > read.storeMillis())
+            .filter(row -> !abandoned);
     if (own.isPresent()) {
       version = read.version();
-      adopt(askedMillis, read.storeMillis(), own.get());
+      adopt(nowMillis, askedMillis, read.storeMillis(), own.get());
     } else if (leading) {
       lose("another host took the lease over");
     } else if (wanted) {
@@ -162,20 +203,31 @@
   private void takeOver(long nowMillis, long askedMillis, LeaseRead read) {
     storeMillis = read.storeMillis();
     storeAskedMillis = askedMillis;
-    long left = read.row().map(row -> row.validUntilStoreMillis() - read.storeMillis()).orElse(-1L);
+    storeAnsweredMillis = nowMillis;
+    long left =
+        read.row()
+            .map(row -> row.validUntilStoreMillis() - read.storeMillis())
+            .orElse(-1L - yieldMillis);
+    if (left < 0 && left + yieldMillis >= 0) {
+      long look = Math.min(left + yieldMillis + 1, YIELD_LOOK_MILLIS);
+      challengeDue = nowMillis + look + random.nextInt(CHALLENGE_SPREAD_MILLIS);
+      return;
+    }
     if (left >= 0) {
       challengeDue = nowMillis + left + 1 + random.nextInt(CHALLENGE_SPREAD_MILLIS);
       out.add(new LeaseEffect.HeldByOther(read.row().orElseThrow()));
       return;
     }
+    abandoned = false;
     term = Math.max(term, read.row().map(LeaseRow::term).orElse(0L)) + 1;
     write(nowMillis, new LeaseRow(term, self, address, validAfter(nowMillis)));
   }
 
   /** Counts on a row of this host that lies in the store. */
-  private void adopt(long askedMillis, long answeredStoreMillis, LeaseRow row) {
+  private void adopt(long nowMillis, long askedMillis, long answeredStoreMillis, LeaseRow row) {
     storeMillis = answeredStoreMillis;
     storeAskedMillis = askedMillis;
+    storeAnsweredMillis = nowMillis;
     validUntilStore = row.validUntilStoreMillis();
     renewDue = askedMillis + RENEW_MILLIS;
     if (!leading && latestStoreMillis(askedMillis) < validUntilStore - MARGIN_MILLIS) {
@@ -200,8 +252,9 @@
     long askedMillis = callSentMillis;
     callSentMillis = -1;
     if (result instanceof LeaseWrite.Written written) {
-      accept(askedMillis, written);
+      accept(nowMillis, askedMillis, written);
     } else {
+      handingOver = false;
       // A write whose answer was lost may have changed the row, too: the next reading tells.
       inDoubt = !(result instanceof LeaseWrite.NotDone);
       renewDue = nowMillis + RETRY_MILLIS;
@@ -210,10 +263,13 @@
     return drain();
   }
 
-  private void accept(long askedMillis, LeaseWrite.Written written) {
+  private void accept(long nowMillis, long askedMillis, LeaseWrite.Written written) {
     version = written.version();
-    if (!givingUp) {
-      adopt(askedMillis, written.storeMillis(), proposed);
+    if (handingOver) {
+      handingOver = false;
+      out.add(new LeaseEffect.HandedOver(term));
+    } else if (!givingUp) {
+      adopt(nowMillis, askedMillis, written.storeMillis(), proposed);
     }
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/lease/LeaseEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/lease/LeaseEffect.java
@@ -19,6 +19,9 @@
   /** This host is the coordinator from now on. */
   record Won(long term) implements LeaseEffect {}
 
+  /** The lease was given up so that a stronger host takes it; the row says so. */
+  record HandedOver(long term) implements LeaseEffect {}
+
   /** This host is no longer the coordinator. */
   record Lost(long term, String reason) implements LeaseEffect {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -16,12 +16,10 @@
 import dev.hornbeamwheel.core.host.slots.SlotBroker;
 import dev.hornbeamwheel.core.host.slots.SlotEffect;
 import dev.hornbeamwheel.core.host.slots.Ticket;
-import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,16 +34,21 @@
   /** Time between two rounds that tell hosts which owners changed, in milliseconds. */
   static final long TELL_OWNERS_MILLIS = 200;
 
+  /** A term that is shorter is not ended for a stronger host, in milliseconds. */
+  static final long HAND_OVER_AFTER_MILLIS = 5_000;
+
   private final long term;
   private final HostIdentity self;
   private final Catalog catalog;
   private final SlotBroker broker;
-  private final Map<LinkId, DataCentreId> links = new LinkedHashMap<>();
+  private final LinkedHosts links = new LinkedHosts();
   private final Map<ServiceId, KeyedService> keyed = new HashMap<>();
   private final Map<ServiceId, KeyDemand> demands = new HashMap<>();
   private final Map<ServiceId, ToldOwners> told = new HashMap<>();
   private final Map<ServiceId, Long> toldRevision = new HashMap<>();
   private final List<HostEffect> out = new ArrayList<>();
+  private final long startMillis;
+  private boolean handedOver;
   private long heartbeatDue;
   private long tellOwnersDue;
   private long asks;
@@ -60,6 +63,7 @@
     this.catalog = catalog;
     this.broker = SlotBroker.create(catalog, new Owners());
     this.nowMillis = nowMillis;
+    this.startMillis = nowMillis;
   }
 
   long term() {
@@ -79,7 +83,7 @@
   List<HostEffect> receive(long now, LinkId link, HostMessage message) {
     nowMillis = now;
     if (message instanceof HostMessage.Hello hello) {
-      links.put(link, hello.dataCentre());
+      links.add(now, link, hello);
       told.values().forEach(owners -> owners.join(link));
       tell(link, heartbeat(true));
     } else if (message instanceof HostMessage.Ask ask) {
@@ -112,6 +116,24 @@
     return drain();
   }
 
+  /**
+   * Returns whether a clearly stronger host should coordinate, and the change would meet no keys
+   * that are about to change their owner.
+   */
+  boolean shouldHandOver(long now) {
+    return now - startMillis >= HAND_OVER_AFTER_MILLIS
+        && self.capacity().clearlyBelow(links.bestSteady(now))
+        && keyed.values().stream().allMatch(KeyedService::settled);
+  }
+
+  /** Tells all hosts that the lease was given up for a stronger one; no keys are touched again. */
+  List<HostEffect> handedOver() {
+    handedOver = true;
+    HostMessage heartbeat = heartbeat(false);
+    links.links().forEach(link -> tell(link, heartbeat));
+    return drain();
+  }
+
   /** Notes that upstreams, evacuations or the configuration changed. */
   void catalogChanged() {
     keyed.values().forEach(KeyedService::upstreamsChanged);
@@ -136,7 +158,8 @@
     }
     if (now >= heartbeatDue) {
       heartbeatDue = now + HEARTBEAT_MILLIS;
-      links.keySet().forEach(link -> tell(link, heartbeat(leased)));
+      HostMessage heartbeat = heartbeat(leased);
+      links.links().forEach(link -> tell(link, heartbeat));
     }
     return drain();
   }
@@ -176,7 +199,7 @@
               KeyDemand demand = KeyDemand.none();
               demands.put(service, demand);
               ToldOwners owners = new ToldOwners(service);
-              links.keySet().forEach(owners::join);
+              links.links().forEach(owners::join);
               told.put(service, owners);
               keyed.put(
                   service,
@@ -199,7 +222,7 @@
     return new Ask(
         link,
         ask.ask(),
-        links.getOrDefault(link, self.dataCentre()),
+        links.dataCentre(link).orElse(self.dataCentre()),
         ask.service(),
         ask.key(),
         ask.priority(),
@@ -255,7 +278,8 @@
   }
 
   private HostMessage heartbeat(boolean leased) {
-    return new HostMessage.Heartbeat(term, leased, links.size());
+    return new HostMessage.Heartbeat(
+        term, leased && !handedOver, links.size(), links.best(), handedOver);
   }
 
   private void tell(LinkId link, HostMessage message) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -1,5 +1,6 @@
 package dev.hornbeamwheel.core.host.node;
 
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
@@ -12,7 +13,8 @@
 /** What an entry host and the coordinator say to each other. */
 public sealed interface HostMessage {
   /** First message of a host. */
-  record Hello(HostId host, DataCentreId dataCentre) implements HostMessage {}
+  record Hello(HostId host, DataCentreId dataCentre, HostCapacity capacity)
+      implements HostMessage {}
 
   /** Asks for a slot; times are in milliseconds from now. */
   record Ask(
@@ -42,8 +44,11 @@
    *
    * @param leased whether it holds the lease
    * @param hosts how many hosts are connected to it
+   * @param best greatest capacity among them
+   * @param handingOver whether it gave the lease up for a host of about that capacity
    */
-  record Heartbeat(long term, boolean leased, int hosts) implements HostMessage {}
+  record Heartbeat(long term, boolean leased, int hosts, HostCapacity best, boolean handingOver)
+      implements HostMessage {}
 
   /** An ask may go to an upstream. */
   record Give(long ask, UpstreamId upstream, long fence) implements HostMessage {}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -5,6 +5,7 @@
 import dev.hornbeamwheel.core.host.catalog.Catalog;
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
 import dev.hornbeamwheel.core.host.lease.CoordinatorLease;
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.lease.LeaseEffect;
 import dev.hornbeamwheel.core.host.lease.LeaseRow;
 import dev.hornbeamwheel.core.host.log.LogEntry;
@@ -36,6 +37,12 @@
   /** A coordinator that has lost its lease for so long is challenged, in milliseconds. */
   static final long CHALLENGE_UNLEASED_MILLIS = 200;
 
+  /** A clearly weaker host leaves a lapsed lease to others for so long, in milliseconds. */
+  static final long YIELD_MILLIS = 600;
+
+  /** After one lease was handed over, no host hands one over for so long, in milliseconds. */
+  static final long HAND_OVER_PAUSE_MILLIS = 60_000;
+
   /** Pause before connecting to the coordinator again, in milliseconds. */
   static final long RECONNECT_MILLIS = 300;
 
@@ -52,6 +59,9 @@
   private long reconnectDue;
   private long heardMillis;
   private long leasedHeardMillis;
+  private HostCapacity best = HostCapacity.unknown();
+  private boolean handingOver;
+  private long handOverDue;
   private boolean stopping;
 
   private HostNode(HostIdentity self) {
@@ -194,6 +204,11 @@
     }
     boolean leased = lease.leading(now);
     coordinator.ifPresent(c -> lead(now, c.tick(now, leased, lease.renewalLate(now))));
+    boolean mayHandOver =
+        leased && !stopping && now >= handOverDue && !lease.renewalLate(now) && catalog.complete();
+    if (mayHandOver && coordinator.filter(c -> c.shouldHandOver(now)).isPresent()) {
+      lease(now, lease.handOver(now));
+    }
     performAll(now, flow.tick(now));
   }
 
@@ -201,8 +216,12 @@
     boolean silent = now - heardMillis > CHALLENGE_SILENT_MILLIS;
     boolean unleased =
         now - leasedHeardMillis > CHALLENGE_SILENT_MILLIS + CHALLENGE_UNLEASED_MILLIS;
-    if (announced.isEmpty() || !connected || silent || unleased) {
-      lease(now, lease.challenge(now));
+    // A host that has just started does not know whether it is weak.
+    boolean known = !self.capacity().isUnknown();
+    boolean weak = known && (best.isUnknown() || self.capacity().clearlyBelow(best));
+    boolean called = handingOver && ((known && !weak) || coordinator.isPresent());
+    if (announced.isEmpty() || !connected || silent || unleased || called) {
+      lease(now, lease.challenge(now, weak ? YIELD_MILLIS : 0));
     } else {
       lease.withdraw();
     }
@@ -231,6 +250,7 @@
     }
     resign(now);
     disconnect(now);
+    handingOver = false;
     heardMillis = now;
     leasedHeardMillis = now;
     reconnectDue = now;
@@ -272,7 +292,8 @@
     connected = true;
     heardMillis = now;
     leasedHeardMillis = now;
-    say(now, new HostMessage.Hello(self.host(), self.dataCentre()));
+    handingOver = false;
+    say(now, new HostMessage.Hello(self.host(), self.dataCentre(), self.capacity()));
     performAll(now, flow.coordinatorConnected(now));
     log(LogEntry.of("coordinator-joined").with("term", announcedTerm()));
   }
@@ -300,6 +321,11 @@
       if (heartbeat.leased()) {
         leasedHeardMillis = now;
       }
+      best = heartbeat.best();
+      handingOver = heartbeat.handingOver();
+      if (handingOver) {
+        handOverDue = now + HAND_OVER_PAUSE_MILLIS;
+      }
       flow.coordinatorHeard(now, heartbeat.term(), heartbeat.hosts());
     } else if (message instanceof HostMessage.KeyMap map) {
       flow.owners(map.service(), map.byFirstKey());
@@ -315,6 +341,8 @@
             won(now, won.term());
           } else if (effect instanceof LeaseEffect.HeldByOther held) {
             announced(now, held.row());
+          } else if (effect instanceof LeaseEffect.HandedOver given) {
+            leading(given.term()).ifPresent(c -> lead(now, c.handedOver()));
           } else if (effect instanceof LeaseEffect.Lost lost) {
             log(
                 LogEntry.failure("lease-lost")
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceTest.java
@@ -180,4 +180,23 @@
     assertThat(wrong).isZero();
     assertThat(world.heldPart()).isEqualTo(1);
   }
+
+  // A hand-over of the coordinator's lease amid a move would lose the state that moves with it.
+  @Test
+  void isNotSettledWhileKeysChangeTheirOwner() {
+    KeyWorld world = new KeyWorld(UPSTREAMS, 1);
+    assertThat(world.service().settled()).isFalse();
+    world.run(KeyedService.FIRST_OWNERS_MILLIS + 1_000);
+    assertThat(world.service().settled()).isTrue();
+
+    world.drain(world.all.get(0));
+    long unsettledMillis = 0;
+    for (int i = 0; i < 100; i++) {
+      world.run(10);
+      unsettledMillis += world.service().settled() ? 0 : 10;
+    }
+
+    assertThat(unsettledMillis).isPositive();
+    assertThat(world.service().settled()).isTrue();
+  }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/lease/CoordinatorLeaseTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/lease/CoordinatorLeaseTest.java
@@ -14,6 +14,9 @@
   /** A lease, a challenge and the calls that both need. */
   private static final long TAKEOVER_MILLIS = 2_000;
 
+  /** A challenge, at most twice, and the calls that it needs. */
+  private static final long HAND_OVER_MILLIS = 400;
+
   @Property(tries = 60, seed = "2026120401")
   void atMostOneHostHoldsTheLeaseUnderLostAnswersAndSuspensions(
       @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
@@ -80,4 +83,23 @@
     assertThat(world.run(10_000)).isEqualTo(1);
     assertThat(world.leaderlessMillis).isLessThanOrEqualTo(TAKEOVER_MILLIS);
   }
+
+  // A hand-over whose write comes late must not end a lease that its writer counts on again.
+  @Property(tries = 60, seed = "2026120414")
+  void atMostOneHostHoldsTheLeaseWhileItIsHandedOver(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    LeaseWorld world = new LeaseWorld(5, seed, 0.3).withHandOvers(0.01, 600);
+
+    assertThat(world.run(RUN_MILLIS)).isLessThanOrEqualTo(1);
+  }
+
+  @Test
+  void aLeaseThatIsHandedOverIsTakenAtOnce() {
+    LeaseWorld world = new LeaseWorld(25, 6, 0).withHandOvers(0.001, 600);
+
+    world.run(RUN_MILLIS);
+
+    assertThat(world.wins).isGreaterThan(3);
+    assertThat(world.leaderlessMillis / world.wins).isLessThanOrEqualTo(HAND_OVER_MILLIS);
+  }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/lease/LeaseWorld.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/lease/LeaseWorld.java
@@ -44,6 +44,8 @@
   private long nowMillis;
   private long order;
   private boolean storeAway;
+  private double handOverRate;
+  private long yieldMillis;
   int wins;
   long leaderlessMillis;
 
@@ -68,6 +70,13 @@
     return most;
   }
 
+  /** Lets holders hand the lease over now and then, and every other host yield to the rest. */
+  LeaseWorld withHandOvers(double rate, long yieldingMillis) {
+    handOverRate = rate;
+    yieldMillis = yieldingMillis;
+    return this;
+  }
+
   void storeAway(boolean away) {
     storeAway = away;
   }
@@ -95,7 +104,10 @@
   }
 
   private void tick(Host host) {
-    perform(host, host.lease.challenge(nowMillis));
+    if (handOverRate > 0 && random.nextDouble() < handOverRate) {
+      perform(host, host.lease.handOver(nowMillis));
+    }
+    perform(host, host.lease.challenge(nowMillis, host.index % 2 == 0 ? 0 : yieldMillis));
     perform(host, host.lease.tick(nowMillis));
   }
 
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/HandOverTest.java
@@ -0,0 +1,138 @@
+package dev.hornbeamwheel.core.host.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/** A host that can bear it coordinates, and nothing else changes for that. */
+final class HandOverTest {
+  private static final int WEAK = 210;
+  private static final int STRONG = 1_500;
+
+  /** A lease, a challenge and the connections of all hosts. */
+  private static final long TAKEOVER_MILLIS = 2_500;
+
+  /** Time from a hand-over until all hosts are connected to the next coordinator. */
+  private static final long HAND_OVER_MILLIS = 1_500;
+
+  private static final long SETTLED_MILLIS = 15_000;
+
+  private static HostWorld mixed(long seed, int weak, int strong, long betweenMillis) {
+    HostWorld world = new HostWorld(seed);
+    List<Integer> capacities = new ArrayList<>(Collections.nCopies(weak, WEAK));
+    capacities.addAll(Collections.nCopies(strong, STRONG));
+    Collections.shuffle(capacities, new Random(seed));
+    capacities.forEach(
+        capacity -> {
+          world.start(capacity);
+          world.run(betweenMillis);
+        });
+    return world;
+  }
+
+  // The lease went to whichever host wrote first, mostly one too weak to coordinate a large fleet.
+  @Property(tries = 25, seed = "2026120412")
+  void aStrongHostEndsUpCoordinatingWhoeverStartsFirst(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    HostWorld world = mixed(seed, 20, 2, seed % 3 * 150);
+
+    world.run(SETTLED_MILLIS);
+
+    assertThat(world.leaderCapacity()).isEqualTo(STRONG);
+    assertThat(world.runUntilJoined(HAND_OVER_MILLIS)).isLessThan(HAND_OVER_MILLIS);
+    assertThat(world.wins).isLessThanOrEqualTo(2);
+  }
+
+  // A weak host that had just started took the lease that was meant for a strong one.
+  @Test
+  void aHostThatStartsDuringAHandOverLeavesTheLeaseToStrongOnes() {
+    HostWorld world = mixed(38, 20, 2, 300);
+
+    world.run(SETTLED_MILLIS);
+
+    assertThat(world.leaderCapacity()).isEqualTo(STRONG);
+    assertThat(world.wins).isEqualTo(2);
+  }
+
+  @Test
+  void aStrongHostThatJoinsLaterGetsTheLeaseOnce() {
+    HostWorld world = mixed(1, 10, 0, 25);
+    world.run(SETTLED_MILLIS);
+    world.start(STRONG);
+
+    world.run(SETTLED_MILLIS);
+    int wins = world.wins;
+    world.run(10 * SETTLED_MILLIS);
+
+    assertThat(world.leaderCapacity()).isEqualTo(STRONG);
+    assertThat(wins).isEqualTo(2);
+    assertThat(world.wins).isEqualTo(wins);
+  }
+
+  @Test
+  void anotherStrongHostFollowsALostOne() {
+    HostWorld world = mixed(2, 20, 3, 25);
+    world.run(SETTLED_MILLIS);
+    int wins = world.wins;
+    world.lose(world.leader());
+
+    assertThat(world.runUntilJoined(TAKEOVER_MILLIS)).isLessThan(TAKEOVER_MILLIS);
+
+    assertThat(world.leaderCapacity()).isEqualTo(STRONG);
+    assertThat(world.wins).isEqualTo(wins + 1);
+  }
+
+  // Weak hosts must not wait for strong ones that are all lost.
+  @Property(tries = 25, seed = "2026120413")
+  void aWeakHostTakesOverWhenAllStrongOnesAreLost(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    HostWorld world = mixed(seed, 20, 3, 25);
+    world.run(SETTLED_MILLIS);
+    world.loseStrong(STRONG);
+
+    long limit = TAKEOVER_MILLIS + HostNode.YIELD_MILLIS;
+    assertThat(world.runUntilJoined(limit)).isLessThan(limit);
+    assertThat(world.leaderCapacity()).isEqualTo(WEAK);
+  }
+
+  @Test
+  void equalHostsKeepTheirFirstCoordinator() {
+    HostWorld world = mixed(3, 20, 0, 25);
+
+    world.run(4 * SETTLED_MILLIS);
+
+    assertThat(world.wins).isEqualTo(1);
+  }
+
+  @Test
+  void equalHostsReplaceALostCoordinatorAsFastAsBefore() {
+    HostWorld world = mixed(4, 20, 0, 25);
+    world.run(SETTLED_MILLIS);
+    world.lose(world.leader());
+
+    assertThat(world.runUntilJoined(TAKEOVER_MILLIS)).isLessThan(TAKEOVER_MILLIS);
+    assertThat(world.wins).isEqualTo(2);
+  }
+
+  // A strong host that cannot write the lease must not make weak ones give theirs up for ever.
+  @Test
+  void theLeaseIsNotHandedBackAndForthWhenStrongHostsDoNotReachTheStore() {
+    HostWorld world = mixed(5, 20, 0, 25);
+    world.cutStrongOffFromStore();
+    world.start(STRONG);
+    world.run(SETTLED_MILLIS);
+    int wins = world.wins;
+
+    world.run(HostNode.HAND_OVER_PAUSE_MILLIS / 2);
+
+    assertThat(world.leaderCapacity()).isEqualTo(WEAK);
+    assertThat(world.wins).isEqualTo(wins);
+  }
+}
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -83,6 +83,7 @@
                 settings.host(),
                 settings.dataCentre(),
                 settings.peerAddress(),
+                settings.capacity(),
                 settings.holdMaxMillis(),
                 System.nanoTime() ^ settings.host().hashCode()));
     this.platform =
--- a/host/src/main/java/dev/hornbeamwheel/host/HostSettings.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostSettings.java
@@ -1,9 +1,11 @@
 package dev.hornbeamwheel.host;
 
 import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.runtime.settings.SettingsObject;
+import java.math.BigDecimal;
 
 /**
  * Settings of an entry host.
@@ -16,6 +18,7 @@
  * @param metricsAddress where metrics are read
  * @param storeAddress the platform's store
  * @param holdMaxMillis longest hold of keys that upstreams accept, in milliseconds
+ * @param capacity how much coordinating the host can bear
  * @param graceMillis time from the signal to stop until the process is killed, in milliseconds
  */
 record HostSettings(
@@ -27,11 +30,16 @@
     Address metricsAddress,
     Address storeAddress,
     long holdMaxMillis,
+    HostCapacity capacity,
     long graceMillis) {
   private static final int MAX_HOLD_MILLIS = 600_000;
   private static final int MAX_GRACE_SECONDS = 600;
   private static final int MILLIS_PER_SECOND = 1_000;
 
+  private static final int MAX_CORES = 1_024;
+  private static final int MAX_MEGABITS = 1_000_000;
+  private static final int MAX_DIGITS = 32;
+
   static HostSettings read(SettingsObject document) {
     return new HostSettings(
         document.value("host", HostId::of),
@@ -42,6 +50,36 @@
         document.value("metricsAddress", Address::parse),
         document.value("storeAddress", Address::parse),
         document.integer("holdMaxMillis", 1_000, MAX_HOLD_MILLIS),
+        capacity(document),
         (long) document.integer("graceSeconds", 1, MAX_GRACE_SECONDS) * MILLIS_PER_SECOND);
   }
+
+  private static HostCapacity capacity(SettingsObject document) {
+    double cores = number(document, "processorCores", MAX_CORES, 0);
+    double speed = number(document, "processorSpeed", MAX_CORES, 1);
+    double megabits = number(document, "linkMegabitsPerSecond", MAX_MEGABITS, 0);
+    return HostCapacity.of(cores * speed, megabits);
+  }
+
+  /** Returns a decimal number that is written as a text, or another value if it is left out. */
+  private static double number(SettingsObject document, String field, int max, double absent) {
+    return document
+        .optionalValue(field, text -> number(text, max))
+        .map(BigDecimal::doubleValue)
+        .orElse(absent);
+  }
+
+  private static BigDecimal number(String text, int max) {
+    if (text.length() <= MAX_DIGITS) {
+      try {
+        BigDecimal number = new BigDecimal(text);
+        if (number.signum() >= 0 && number.compareTo(BigDecimal.valueOf(max)) <= 0) {
+          return number;
+        }
+      } catch (NumberFormatException e) {
+        throw new IllegalArgumentException("write a decimal number from 0 to " + max, e);
+      }
+    }
+    throw new IllegalArgumentException("write a decimal number from 0 to " + max);
+  }
 }
--- a/host/src/test/java/dev/hornbeamwheel/host/CoordinatorLoadTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/CoordinatorLoadTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.log.LogEntry;
 import dev.hornbeamwheel.core.host.node.CoordinatorWork;
 import dev.hornbeamwheel.core.host.node.HostMessage;
@@ -28,7 +29,7 @@
   @Test
   void aLineCountsItsOwnPeriodOnly() {
     load.sent(new HostMessage.KeyMap(ServiceId.of("ledger"), Map.of()), 500);
-    load.sent(new HostMessage.Heartbeat(3, true, 2), 20);
+    load.sent(new HostMessage.Heartbeat(3, true, 2, HostCapacity.unknown(), false), 20);
     Map<String, Object> first = end(new CoordinatorWork(3, 2, 100, 90, 4, 30, 6));
     Map<String, Object> second = end(new CoordinatorWork(3, 2, 150, 140, 5, 40, 5));
 
--- a/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.host;
 
 import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.standins.site.FaultyUpstreamStandin;
@@ -107,6 +108,7 @@
         freeAddress(),
         new Address("127.0.0.1", store.port()),
         HOLD_MAX_MILLIS,
+        HostCapacity.unknown(),
         graceMillis);
   }
 
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
@@ -1,5 +1,6 @@
 package dev.hornbeamwheel.wire;
 
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.node.HostMessage;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.DataCentreId;
@@ -55,7 +56,9 @@
           HeartbeatBody.newBuilder()
               .setTerm(beat.term())
               .setLeased(beat.leased())
-              .setHosts(beat.hosts()));
+              .setHosts(beat.hosts())
+              .setBestCapacity(beat.best().points())
+              .setHandingOver(beat.handingOver()));
     } else if (message instanceof HostMessage.Cancel cancel) {
       frame.setCancel(CancelBody.newBuilder().setAsk(cancel.ask()));
     } else {
@@ -76,7 +79,8 @@
       frame.setHello(
           HelloBody.newBuilder()
               .setHost(hello.host().value())
-              .setDataCentre(hello.dataCentre().value()));
+              .setDataCentre(hello.dataCentre().value())
+              .setCapacity(hello.capacity().points()));
     } else if (message instanceof HostMessage.KeyMap map) {
       frame.setKeyMap(keyMap(map.service(), map.byFirstKey()));
     } else if (message instanceof HostMessage.KeyMapChange change) {
@@ -111,7 +115,9 @@
             new HostMessage.Heartbeat(
                 frame.getHeartbeat().getTerm(),
                 frame.getHeartbeat().getLeased(),
-                frame.getHeartbeat().getHosts());
+                frame.getHeartbeat().getHosts(),
+                new HostCapacity(frame.getHeartbeat().getBestCapacity()),
+                frame.getHeartbeat().getHandingOver());
         case CANCEL -> new HostMessage.Cancel(frame.getCancel().getAsk());
         case HOLD ->
             new HostMessage.Hold(
@@ -122,7 +128,8 @@
         case HELLO ->
             new HostMessage.Hello(
                 HostId.of(frame.getHello().getHost()),
-                DataCentreId.of(frame.getHello().getDataCentre()));
+                DataCentreId.of(frame.getHello().getDataCentre()),
+                new HostCapacity(frame.getHello().getCapacity()));
         case KEY_MAP -> keyMap(frame.getKeyMap());
         case BODY_NOT_SET -> throw new IllegalArgumentException("a frame without a message");
       };
--- a/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.node.HostMessage;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.Map;
@@ -29,6 +32,13 @@
     assertKept(new HostMessage.KeyMapChange(LEDGER, Map.of(), Set.of(0)));
   }
 
+  @Test
+  void capacitiesAndHandOversAreKept() throws Exception {
+    HostCapacity strong = new HostCapacity(1_500);
+    assertKept(new HostMessage.Hello(HostId.of("host-1"), DataCentreId.of("vannes"), strong));
+    assertKept(new HostMessage.Heartbeat(7, false, 142, strong, true));
+  }
+
   // Each moved range is told to each host; at many hosts, long words fill the link.
   @Test
   void aMovedRangeTakesLessThanAHundredBytes() {
