Let a host that has just started learn from the row whether it is weak

After a loss of all hosts none had heard a heartbeat, so every one counted itself as possibly weak and left the lapsed lease alone for 600 ms, also where all hosts are equal. The row of the lease names the greatest capacity that its holder knows of; a host that starts reads it before it decides. Without a row, or with one that names none, nobody yields. The two tests named HttpCallerTest met; the one of the host module is AnswerLimitsTest now.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
@@ -59,6 +59,7 @@
   private boolean abandoned;
   private boolean wanted;
   private long yieldMillis;
+  private HostCapacity best = HostCapacity.unknown();
   private long challengeDue;
 
   private CoordinatorLease(HostId self, Address address, long seed) {
@@ -104,7 +105,7 @@
    * @param yield length of that time, in milliseconds
    */
   public List<LeaseEffect> challenge(long nowMillis, long yield) {
-    yieldMillis = yield;
+    yieldFor(yield);
     if (!wanted && !leading && !givingUp) {
       wanted = true;
       challengeDue = Math.max(challengeDue, nowMillis + random.nextInt(CHALLENGE_SPREAD_MILLIS));
@@ -112,6 +113,16 @@
     return drain();
   }
 
+  /** Notes the greatest capacity of a host, for those that start later to read in the row. */
+  public void noteBest(HostCapacity capacity) {
+    best = capacity;
+  }
+
+  /** Changes how long after its end this host leaves the lease to others, in milliseconds. */
+  public void yieldFor(long millis) {
+    yieldMillis = millis;
+  }
+
   /** Ends a challenge, since a coordinator was heard. */
   public void withdraw() {
     wanted = false;
@@ -129,7 +140,7 @@
       callSentMillis = nowMillis;
       out.add(new LeaseEffect.Read());
     } else if (leading && nowMillis >= renewDue) {
-      write(nowMillis, new LeaseRow(term, self, address, validAfter(nowMillis)));
+      write(nowMillis, row(validAfter(nowMillis)));
     } else if (!leading && wanted && nowMillis >= challengeDue) {
       callSentMillis = nowMillis;
       out.add(new LeaseEffect.Read());
@@ -165,10 +176,14 @@
     return drain();
   }
 
+  private LeaseRow row(long validUntilStoreMillis) {
+    return new LeaseRow(term, self, address, validUntilStoreMillis, best);
+  }
+
   /** Returns the row of this term with an end that has surely passed on the store's clock. */
   private LeaseRow lapsedRow(long nowMillis) {
     long surelyPassed = storeMillis + nowMillis - storeAnsweredMillis;
-    return new LeaseRow(term, self, address, surelyPassed - 1);
+    return row(surelyPassed - 1);
   }
 
   /** Takes the answer to {@link LeaseEffect.Read}. */
@@ -220,7 +235,7 @@
     }
     abandoned = false;
     term = Math.max(term, read.row().map(LeaseRow::term).orElse(0L)) + 1;
-    write(nowMillis, new LeaseRow(term, self, address, validAfter(nowMillis)));
+    write(nowMillis, row(validAfter(nowMillis)));
   }
 
   /** Counts on a row of this host that lies in the store. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/lease/LeaseRow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/lease/LeaseRow.java
@@ -10,5 +10,7 @@
  * @param holder the coordinator
  * @param address where hosts reach it
  * @param validUntilStoreMillis end of the lease on the store's clock
+ * @param best greatest capacity of a host that the holder knows of
  */
-public record LeaseRow(long term, HostId holder, Address address, long validUntilStoreMillis) {}
+public record LeaseRow(
+    long term, HostId holder, Address address, long validUntilStoreMillis, HostCapacity best) {}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -7,6 +7,7 @@
 import dev.hornbeamwheel.core.host.lease.CoordinatorLease;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.lease.LeaseEffect;
+import dev.hornbeamwheel.core.host.lease.LeaseRead;
 import dev.hornbeamwheel.core.host.lease.LeaseRow;
 import dev.hornbeamwheel.core.host.log.LogEntry;
 import dev.hornbeamwheel.core.host.request.RequestEffect;
@@ -152,9 +153,7 @@
     } else if (event instanceof HostEvent.CoordinatorGone gone) {
       coordinatorGone(now, gone.term());
     } else if (event instanceof HostEvent.LeaseReadEnded ended) {
-      ended
-          .read()
-          .ifPresentOrElse(read -> lease(now, lease.read(now, read)), () -> lease.readFailed(now));
+      ended.read().ifPresentOrElse(read -> leaseRead(now, read), () -> lease.readFailed(now));
     } else if (event instanceof HostEvent.LeaseWriteEnded ended) {
       lease(now, lease.written(now, ended.result()));
     } else if (event instanceof HostEvent.TableReadEnded ended) {
@@ -232,12 +231,10 @@
     boolean silent = now - heardMillis > CHALLENGE_SILENT_MILLIS;
     boolean unleased =
         now - leasedHeardMillis > CHALLENGE_SILENT_MILLIS + CHALLENGE_UNLEASED_MILLIS;
-    // A host that has just started does not know whether it is weak.
-    boolean known = !self.capacity().isUnknown();
-    boolean weak = known && (best.isUnknown() || self.capacity().clearlyBelow(best));
-    boolean called = handingOver && ((known && !weak) || coordinator.isPresent());
+    boolean strong = !self.capacity().isUnknown() && !self.capacity().clearlyBelow(best);
+    boolean called = handingOver && (strong || coordinator.isPresent());
     if (announced.isEmpty() || !connected || silent || unleased || called) {
-      lease(now, lease.challenge(now, weak ? YIELD_MILLIS : 0));
+      lease(now, lease.challenge(now, yieldMillis()));
     } else {
       lease.withdraw();
     }
@@ -249,6 +246,24 @@
     }
   }
 
+  private void leaseRead(long now, LeaseRead read) {
+    if (best.isUnknown()) {
+      // A host that has just started learns from the row whether it is weak.
+      read.row().map(LeaseRow::best).ifPresent(this::noteBest);
+      lease.yieldFor(yieldMillis());
+    }
+    lease(now, lease.read(now, read));
+  }
+
+  private void noteBest(HostCapacity capacity) {
+    best = capacity;
+    lease.noteBest(capacity);
+  }
+
+  private long yieldMillis() {
+    return self.capacity().clearlyBelow(best) ? YIELD_MILLIS : 0;
+  }
+
   private void announced(long now, LeaseRow row) {
     // A row of an earlier start of this host names nobody who could answer.
     if (row.term() <= announcedTerm() || row.address().equals(self.address())) {
@@ -337,7 +352,7 @@
       if (heartbeat.leased()) {
         leasedHeardMillis = now;
       }
-      best = heartbeat.best();
+      noteBest(heartbeat.best());
       handingOver = heartbeat.handingOver();
       if (handingOver) {
         handOverDue = now + HAND_OVER_PAUSE_MILLIS;
@@ -378,7 +393,7 @@
     }
     disconnect(now);
     resign(now);
-    announced = Optional.of(new LeaseRow(term, self.host(), self.address(), 0));
+    announced = Optional.of(new LeaseRow(term, self.host(), self.address(), 0, best));
     coordinator = Optional.of(new Coordinator(now, term, self, catalog));
     joined(now);
     Coordinator leader = coordinator.get();
--- a/host/src/test/java/dev/hornbeamwheel/host/HttpCallerTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/AnswerLimitsTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Calls over real connections, and the bound over all answers that are read at a time. */
-final class HttpCallerTest {
+final class AnswerLimitsTest {
   private static final int CONNECT_MILLIS = 1_000;
   private static final long CALL_MILLIS = 20_000;
   private static final int ANSWER_BYTES = 64 << 20;
--- a/host/src/test/java/dev/hornbeamwheel/host/EndlessStoreAnswerTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/EndlessStoreAnswerTest.java
@@ -6,6 +6,7 @@
 import dev.hornbeamwheel.core.host.keys.KeyEffect;
 import dev.hornbeamwheel.core.host.keys.KeyRange;
 import dev.hornbeamwheel.core.host.keys.OrderResult;
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.lease.LeaseEffect;
 import dev.hornbeamwheel.core.host.lease.LeaseRow;
 import dev.hornbeamwheel.core.host.lease.LeaseWrite;
@@ -87,7 +88,9 @@
         () ->
             platform.performLease(
                 new LeaseEffect.Write(
-                    new LeaseRow(TERM, HostId.of("host-1"), address(), 1_000), 0)));
+                    new LeaseRow(
+                        TERM, HostId.of("host-1"), address(), 1_000, HostCapacity.unknown()),
+                    0)));
 
     assertThat(next()).extracting("result").isInstanceOf(LeaseWrite.InDoubt.class);
     assertCut();
--- a/wire/src/test/java/dev/hornbeamwheel/wire/http/HttpCallerTest.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/http/HttpCallerTest.java
@@ -45,7 +45,10 @@
           new Address(InetAddress.getLoopbackAddress().getHostAddress(), server.getLocalPort());
       HttpCaller caller =
           HttpCaller.create(
-              loop, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), 5_000, 1_024);
+              loop,
+              () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+              5_000,
+              new AnswerLimits(1_024, 1_024));
 
       loop.execute(
           () -> {
