--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -13,7 +13,9 @@
 import dev.hornbeamwheel.core.host.request.RequestFlow;
 import dev.hornbeamwheel.core.host.slots.LinkId;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -54,6 +56,10 @@
 
   private Optional<LeaseRow> announced = Optional.empty();
   private Optional<Coordinator> coordinator = Optional.empty();
+
+  /** Hosts that read in the store that this one won before its own answer told it. */
+  private final Map<LinkId, HostMessage> earlyHellos = new LinkedHashMap<>();
+
   private boolean connected;
   private boolean connecting;
   private long reconnectDue;
@@ -128,8 +134,9 @@
         hear(now, said.message());
       }
     } else if (event instanceof HostEvent.HostSaid said) {
-      coordinator.ifPresent(leader -> lead(now, leader.receive(now, said.link(), said.message())));
-    } else if (event instanceof HostEvent.Stopping) {
+      hostSaid(now, said);
+    } else if (event instanceof HostEvent.Stopping stop) {
+      flow.stopping(stop.lastCallMillis(), stop.endsMillis());
       stop(now);
     } else {
       applyRare(now, event);
@@ -138,6 +145,7 @@
 
   private void applyRare(long now, HostEvent event) {
     if (event instanceof HostEvent.HostGone gone) {
+      earlyHellos.remove(gone.link());
       coordinator.ifPresent(leader -> lead(now, leader.hostGone(now, gone.link())));
     } else if (event instanceof HostEvent.CoordinatorConnected up) {
       coordinatorConnected(now, up.term());
@@ -164,6 +172,14 @@
     }
   }
 
+  private void hostSaid(long now, HostEvent.HostSaid said) {
+    if (coordinator.isPresent()) {
+      lead(now, coordinator.get().receive(now, said.link(), said.message()));
+    } else if (said.message() instanceof HostMessage.Hello) {
+      earlyHellos.put(said.link(), said.message());
+    }
+  }
+
   private void learn(long now, HostEvent event) {
     if (event instanceof HostEvent.ConfigurationRead read) {
       if (catalog.configure(read.configuration())) {
@@ -365,6 +381,9 @@
     announced = Optional.of(new LeaseRow(term, self.host(), self.address(), 0));
     coordinator = Optional.of(new Coordinator(now, term, self, catalog));
     joined(now);
+    Coordinator leader = coordinator.get();
+    earlyHellos.forEach((link, hello) -> lead(now, leader.receive(now, link, hello)));
+    earlyHellos.clear();
   }
 
   private void stop(long now) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -199,18 +199,6 @@
     serve(nowMillis, queue(service).inOrder(nowMillis));
   }
 
-  /** Hands out the slots of upstreams whose pause has ended. */
-  private void resume(long nowMillis) {
-    while (!resumptions.isEmpty() && resumptions.peek().atMillis() <= nowMillis) {
-      catalog.upstream(resumptions.poll().upstream()).ifPresent(entry -> resume(nowMillis, entry));
-    }
-  }
-
-  private void resume(long nowMillis, UpstreamEntry entry) {
-    noteRate(nowMillis, entry);
-    serve(nowMillis, entry);
-  }
-
   /** Hands out a slot that became free at an upstream. */
   private void serve(long nowMillis, UpstreamEntry freed) {
     serve(nowMillis, freed.service(), Optional.of(freed.id()));
@@ -239,6 +227,18 @@
     }
   }
 
+  /** Hands out the slots of upstreams whose pause has ended. */
+  private void resume(long nowMillis) {
+    while (!resumptions.isEmpty() && resumptions.peek().atMillis() <= nowMillis) {
+      catalog.upstream(resumptions.poll().upstream()).ifPresent(entry -> resume(nowMillis, entry));
+    }
+  }
+
+  private void resume(long nowMillis, UpstreamEntry entry) {
+    noteRate(nowMillis, entry);
+    serve(nowMillis, entry);
+  }
+
   private Optional<UpstreamEntry> cheapest(long nowMillis, Ask ask) {
     UpstreamEntry cheapest = null;
     double least = Double.POSITIVE_INFINITY;
@@ -256,8 +256,9 @@
 
   private Optional<UpstreamEntry> owner(long nowMillis, Ask ask) {
     return keys.holder(nowMillis, ask.service(), ask.key().orElseThrow())
+        .filter(holder -> !ask.avoid().contains(holder))
         .flatMap(catalog::upstream)
-        .filter(entry -> free(nowMillis, entry));
+        .filter(entry -> catalog.usable(entry) && free(nowMillis, entry));
   }
 
   private boolean free(long nowMillis, UpstreamId upstream) {
--- a/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
@@ -11,6 +11,7 @@
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.time.Clock;
 import dev.hornbeamwheel.platform.site.CallerProtocol;
+import dev.hornbeamwheel.wire.http.AnswerLimits;
 import dev.hornbeamwheel.wire.http.Call;
 import dev.hornbeamwheel.wire.http.CallResult;
 import dev.hornbeamwheel.wire.http.HttpCaller;
@@ -29,6 +30,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -44,8 +46,8 @@
   /** How long to wait for a connection to an upstream, in milliseconds. */
   private static final int CONNECT_MILLIS = 350;
 
-  /** Longest body of an upstream's answer, in bytes. */
-  private static final int MAX_ANSWER_BYTES = 64 << 20;
+  /** Longest answer of an upstream, and all that are being read at a time, in bytes. */
+  private static final AnswerLimits ANSWER_LIMITS = new AnswerLimits(4 << 20, 24 << 20);
 
   /** Longest idle time of a connection for a request that may be repeated, in milliseconds. */
   private static final long REPEATABLE_IDLE_MILLIS = 6_000;
@@ -60,6 +62,9 @@
   private static final CallerLimits DEFAULT_LIMITS =
       new CallerLimits(16_384, 1 << 20, 3_000, 15_000);
 
+  /** Time after which bytes that the socket has taken have probably arrived, in milliseconds. */
+  private static final long SETTLED_MILLIS = 100;
+
   private static final int BACKLOG = 512;
 
   /** Time in which the end of a connection is noticed that was there before, in milliseconds. */
@@ -93,7 +98,7 @@
     this.stopping = stopping;
     this.behind = behind;
     this.log = log;
-    this.upstreams = HttpCaller.create(loop, clock, CONNECT_MILLIS, MAX_ANSWER_BYTES);
+    this.upstreams = HttpCaller.create(loop, clock, CONNECT_MILLIS, ANSWER_LIMITS);
   }
 
   static CallerLimits defaultLimits() {
@@ -153,6 +158,11 @@
     connections.computeIfAbsent(connection, opened -> new RequestTimer(clock));
   }
 
+  /** Notes that an answer is on its way to the caller. */
+  void answered(CallerConnection connection) {
+    Optional.ofNullable(connections.get(connection)).ifPresent(RequestTimer::active);
+  }
+
   /** Logs a connection that this host is about to close over an answer that is not sent whole. */
   void closing(CallerConnection connection) {
     long unsent = connection.unsentBytes();
@@ -220,7 +230,7 @@
             (connection, timer) -> {
               if (connection.idle() && timer.headLate(now, current.headerTimeoutMillis())) {
                 connection.refuse(HttpResponseStatus.REQUEST_TIMEOUT);
-              } else if (connection.sentSome()) {
+              } else if (connection.sending()) {
                 timer.active();
               } else if (connection.idle() && timer.silent(now, current.idleTimeoutMillis())) {
                 connection.close("the idle limit");
@@ -233,7 +243,8 @@
     Map.copyOf(connections)
         .forEach(
             (connection, timer) -> {
-              if (!timer.receiving()) {
+              boolean settled = timer.silent(clock.millis(), SETTLED_MILLIS);
+              if (!connection.idle() || (settled && !timer.receiving())) {
                 connection.finish();
               }
             });
