--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatingHostTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatingHostTest.java
@@ -15,6 +15,7 @@
 import dev.hornbeamwheel.core.host.keys.OrderResult;
 import dev.hornbeamwheel.core.host.keys.TableRead;
 import dev.hornbeamwheel.core.host.keys.TableWrite;
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.lease.LeaseEffect;
 import dev.hornbeamwheel.core.host.lease.LeaseRead;
 import dev.hornbeamwheel.core.host.lease.LeaseWrite;
@@ -44,7 +45,13 @@
 
   private final HostNode node =
       HostNode.create(
-          new HostIdentity(HostId.of("host-1"), VANNES, new Address("10.0.0.1", 7_540), 10_000, 1));
+          new HostIdentity(
+              HostId.of("host-1"),
+              VANNES,
+              new Address("10.0.0.1", 7_540),
+              HostCapacity.unknown(),
+              10_000,
+              1));
   private final List<RequestEffect> requests = new ArrayList<>();
   private final List<HostMessage> told = new ArrayList<>();
   private boolean tableWritesWait;
@@ -99,7 +106,11 @@
   @Test
   void anotherHostIsNotSentToAnOwnerThatItSeesLeaving() {
     start();
-    happen(new HostEvent.HostSaid(now, OTHER_HOST, new HostMessage.Hello(HostId.of("h"), VANNES)));
+    happen(
+        new HostEvent.HostSaid(
+            now,
+            OTHER_HOST,
+            new HostMessage.Hello(HostId.of("h"), VANNES, HostCapacity.unknown())));
     told.clear();
 
     happen(
@@ -115,7 +126,11 @@
   /** Guards against hosts that heard nothing for a whole term since they had joined too early. */
   @Test
   void aHostThatJoinsBeforeTheLeaseIsKnownToBeWonHearsTheCoordinator() {
-    happen(new HostEvent.HostSaid(now, OTHER_HOST, new HostMessage.Hello(HostId.of("h"), VANNES)));
+    happen(
+        new HostEvent.HostSaid(
+            now,
+            OTHER_HOST,
+            new HostMessage.Hello(HostId.of("h"), VANNES, HostCapacity.unknown())));
 
     start();
 
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
@@ -13,6 +13,7 @@
 import dev.hornbeamwheel.core.host.keys.OrderResult;
 import dev.hornbeamwheel.core.host.keys.TableRead;
 import dev.hornbeamwheel.core.host.keys.TableWrite;
+import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.slots.LinkId;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
@@ -50,8 +51,12 @@
         new UpstreamEntry(new UpstreamLife(OWNER, 1), LEDGER, ADDRESS, VANNES, 2, false, 0));
     coordinator =
         new Coordinator(
-            0, 1, new HostIdentity(HostId.of("e-1"), VANNES, ADDRESS, 10_000, 1), catalog);
-    coordinator.receive(0, LINK, new HostMessage.Hello(HostId.of("e-2"), VANNES));
+            0,
+            1,
+            new HostIdentity(HostId.of("e-1"), VANNES, ADDRESS, HostCapacity.unknown(), 10_000, 1),
+            catalog);
+    coordinator.receive(
+        0, LINK, new HostMessage.Hello(HostId.of("e-2"), VANNES, HostCapacity.unknown()));
   }
 
   /** Ticks until there is an effect of a kind, and returns the last one. */
