Start hosts also where the platform fills in no capacity

The new fields of the settings were texts around a value of the platform's file; where that has no value they were blank, and blank texts are refused, so hosts would not have started. Test: whatIsEmptyIsNotKnown. Also: a connection that is being ended behind its last answer is not closed by the stopping host before its time.

--- a/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerConnection.java
@@ -130,7 +130,7 @@
   void finish() {
     if (!idle()) {
       closing = true;
-    } else if (quiet()) {
+    } else if (!closing && quiet()) {
       close("this host, which is stopping");
     }
   }
--- a/host/src/main/java/dev/hornbeamwheel/host/HostSettings.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostSettings.java
@@ -58,7 +58,7 @@
     double cores = number(document, "processorCores", MAX_CORES, 0);
     double speed = number(document, "processorSpeed", MAX_CORES, 1);
     double megabits = number(document, "linkMegabitsPerSecond", MAX_MEGABITS, 0);
-    return HostCapacity.of(cores * speed, megabits);
+    return HostCapacity.of(speed > 0 ? cores * speed : cores, megabits);
   }
 
   /** Returns a decimal number that is written as a text, or another value if it is left out. */
--- a/host/src/test/java/dev/hornbeamwheel/host/HostSettingsTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/HostSettingsTest.java
@@ -59,8 +59,15 @@
     assertThat(capacity("0.5", "1", "0")).isEqualTo(new HostCapacity(500));
   }
 
+  /** Guards against hosts that do not start where the platform has no value to fill in. */
+  @Test
+  void whatIsEmptyIsNotKnown() throws IOException {
+    assertThat(capacity("", "", "").isUnknown()).isTrue();
+    assertThat(capacity("0.5", "", "")).isEqualTo(new HostCapacity(500));
+  }
+
   @ParameterizedTest
-  @ValueSource(strings = {"", "much", "-1", "1e99", "NaN", "0.1 "})
+  @ValueSource(strings = {" ", "much", "-1", "1e99", "NaN", "0.1 "})
   void whatIsNoDecimalNumberInBoundsIsRefused(String cores) throws IOException {
     assertThat(read(cores, "1", "10")).isInstanceOf(SettingsResult.Rejected.class);
   }
