--- a/host/src/test/java/dev/hornbeamwheel/host/EndlessAnswerMemoryTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/EndlessAnswerMemoryTest.java
@@ -57,7 +57,7 @@
       try (FloodingStandin upstream = site.floodDesk(CALLS)) {
         awaitListening(site.settings(HOST).callerAddress());
         assertThat(site.awaitServing(HOST, START)).isTrue();
-        site.ledger.forEach(owner -> owner.answerWith(LONGEST_BODY_BYTES));
+        site.ledger.forEach(owner -> owner.answerWith(LONGEST_BODY_BYTES + 1));
         upstream.flood(flood);
 
         ExecutorService callers = Executors.newFixedThreadPool(CALLS);
