--- a/core/src/test/java/dev/hornbeamwheel/core/time/SuspensionClockTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/time/SuspensionClockTest.java
@@ -25,10 +25,21 @@
     private long timeOfDayPhaseMicros;
     private long suspendedMicros;
 
+    /** Runs before each reading of a source, for instance to let time pass between readings. */
+    private Runnable beforeReading = () -> {};
+
     SuspensionClock clock() {
-      return SuspensionClock.of(
-          () -> (trueMicros - suspendedMicros + monotonicPhaseMicros) / MICROS_PER_MILLI,
-          () -> (trueMicros + timeOfDayPhaseMicros) / MICROS_PER_MILLI);
+      return SuspensionClock.of(this::monotonicMillis, this::timeOfDayMillis);
+    }
+
+    private long monotonicMillis() {
+      beforeReading.run();
+      return (trueMicros - suspendedMicros + monotonicPhaseMicros) / MICROS_PER_MILLI;
+    }
+
+    private long timeOfDayMillis() {
+      beforeReading.run();
+      return (trueMicros + timeOfDayPhaseMicros) / MICROS_PER_MILLI;
     }
   }
 
@@ -57,6 +68,49 @@
         .isBetween(trueMillis - RESOLUTION_MILLIS, trueMillis + RESOLUTION_MILLIS);
   }
 
+  // Guards against a clock that gains time whenever the process loses its processor during a
+  // reading.
+  @Property(tries = 50, seed = "2026120502")
+  void neverRunsFasterWhenReadingsAreInterrupted(
+      @ForAll @IntRange(max = 999) int phaseMicros,
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    Sources sources = new Sources();
+    sources.monotonicPhaseMicros = phaseMicros;
+    SuspensionClock clock = sources.clock();
+    long start = clock.millis();
+    Random random = new Random(seed);
+    sources.beforeReading =
+        () -> {
+          if (random.nextInt(20) == 0) {
+            sources.trueMicros += random.nextInt(60_000);
+          }
+        };
+
+    while (sources.trueMicros < MEASURED_MILLIS * MICROS_PER_MILLI) {
+      sources.trueMicros += 1 + random.nextInt(500);
+      clock.millis();
+    }
+
+    sources.beforeReading = () -> {};
+    long trueMillis = sources.trueMicros / MICROS_PER_MILLI;
+    assertThat(clock.millis() - start)
+        .isBetween(trueMillis - RESOLUTION_MILLIS, trueMillis + RESOLUTION_MILLIS);
+    assertThat(clock.suspendedMillis()).isZero();
+  }
+
+  @Test
+  void continuesWhenTheTimeOfDayIsSetBack() {
+    Sources sources = new Sources();
+    SuspensionClock clock = sources.clock();
+    long start = clock.millis();
+
+    sources.timeOfDayPhaseMicros = -60_000 * MICROS_PER_MILLI;
+    sources.trueMicros += 500 * MICROS_PER_MILLI;
+
+    assertThat(clock.millis() - start).isEqualTo(500);
+    assertThat(clock.suspendedMillis()).isZero();
+  }
+
   // Guards against a coordinator that acts on an expired lease after its host was suspended.
   @Test
   void countsTheTimeForWhichTheHostWasSuspended() {
