Keep grants in force when a host's clock jumps ahead

What callers would see: after the time of day of the coordinator's host is set forward, keys whose owner is out of reach go to another upstream while the owner still serves them. The clock counts such a step as a suspension, which is right for the coordinator's own lease (it stops acting), and wrong for the holds of others: it would end them too early.

Now a jump is an event of its own, before any event with a later time, and the coordinator postpones the expiries of all grants by it. After a true suspension this waits longer than needed, by the suspension. The event is logged (clock-advanced), which also tells this cause from others.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
@@ -27,6 +27,9 @@
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  /** Every expiry of a grant is later; {@link #NEVER} is earlier even if it is postponed. */
+  private static final long EVER = NEVER / 2;
+
   /**
    * A grant that has not been answered yet.
    *
@@ -34,7 +37,11 @@
    * @param holdMillis hold time, in milliseconds
    * @param latestExpiryMillis latest expiry if it stays unanswered and is reset on time
    */
-  private record InFlightGrant(long sentMillis, long holdMillis, long latestExpiryMillis) {}
+  private record InFlightGrant(long sentMillis, long holdMillis, long latestExpiryMillis) {
+    private InFlightGrant postponed(long millis) {
+      return new InFlightGrant(sentMillis, holdMillis, latestExpiryMillis + millis);
+    }
+  }
 
   private final Map<Long, InFlightGrant> inFlight = new HashMap<>();
 
@@ -75,6 +82,19 @@
     return nowMillis + CALL_TIMEOUT_MILLIS + MAX_TRANSIT_MILLIS;
   }
 
+  /**
+   * Postpones all expiries, because the local clock has advanced by a time that the clocks of
+   * upstreams may not show.
+   *
+   * <p>How long an answered grant certainly lasts is not extended.
+   */
+  void postpone(long millis) {
+    inFlight.replaceAll((orderId, grant) -> grant.postponed(millis));
+    answeredExpiryMillis += millis;
+    unansweredExpiryMillis += millis;
+    inheritedArrivalMillis += millis;
+  }
+
   GrantTracker copy() {
     GrantTracker copy = new GrantTracker();
     copy.inFlight.putAll(inFlight);
@@ -194,7 +214,7 @@
   }
 
   private static String fromNow(long nowMillis, long timeMillis) {
-    return timeMillis == NEVER ? "never" : String.format("%+d ms", timeMillis - nowMillis);
+    return timeMillis < EVER ? "never" : String.format("%+d ms", timeMillis - nowMillis);
   }
 
   private static long withClockDrift(long holdMillis) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -42,9 +42,6 @@
   /** Delay of the first assignment after the last change of eligible upstreams, in milliseconds. */
   static final long INITIAL_OWNERS_DELAY_MILLIS = 1_500;
 
-  /** Usual duration of a hand-over, in milliseconds. */
-  private static final long TYPICAL_HANDOVER_MILLIS = 150;
-
   /** Interval between two plans of moves, in milliseconds. */
   static final long PLAN_INTERVAL_MILLIS = 200;
 
@@ -60,6 +57,7 @@
   private final KeyDecisionLog decisionLog;
   private final UnreachableDataCentres unreachable;
   private final OwnerEligibility eligibility;
+  private final ReadinessEstimate readinessEstimate = new ReadinessEstimate(detector);
   private final InFlightOrders inFlightOrders = new InFlightOrders();
   private final List<KeyEffect> pendingEffects = new ArrayList<>();
 
@@ -156,29 +154,8 @@
   public long readyMillis(long nowMillis, int key) {
     return ranges
         .find(key)
-        .map(range -> readyMillis(nowMillis, range))
-        .orElse(nowMillis + TYPICAL_HANDOVER_MILLIS);
-  }
-
-  private long readyMillis(long nowMillis, OwnedRange range) {
-    if (range.hasConfirmedOwner(nowMillis)) {
-      return nowMillis;
-    }
-    long earliest = nowMillis + TYPICAL_HANDOVER_MILLIS;
-    if (range.phase() == Phase.HELD) {
-      boolean suspected = detector.suspected(nowMillis, range.assignment().owner().incarnation());
-      return suspected ? Math.max(earliest, range.ownerGrants().latestExpiryMillis()) : earliest;
-    }
-    boolean previousSuspected =
-        range.phase() == Phase.RELEASING
-            && range
-                .assignment()
-                .previousOwner()
-                .filter(previous -> detector.suspected(nowMillis, previous.incarnation()))
-                .isPresent();
-    return previousSuspected
-        ? Math.max(earliest, range.previousOwnerGrants().latestExpiryMillis())
-        : earliest;
+        .map(range -> readinessEstimate.readyMillis(nowMillis, range))
+        .orElse(nowMillis + ReadinessEstimate.TYPICAL_HANDOVER_MILLIS);
   }
 
   /** Returns all assignments, sorted by range. */
@@ -212,6 +189,15 @@
     nextPlanMillis = 0;
   }
 
+  /**
+   * Records that the local clock has advanced by a time that may not have passed: the host was
+   * suspended, or its time of day was set forward.
+   */
+  public void clockAdvanced(long millis) {
+    inheritedGrants.postpone(millis);
+    ranges.stream().forEach(range -> range.postponeExpiries(millis));
+  }
+
   /** Handles the result of {@link KeyEffect.ReadTable}. */
   public List<KeyEffect> tableRead(long nowMillis, TableReadResult result) {
     storePending = false;
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
@@ -131,6 +131,12 @@
     return previousOwnerGrants;
   }
 
+  /** Postpones the expiries of all grants of the range. */
+  void postponeExpiries(long millis) {
+    ownerGrants.postpone(millis);
+    previousOwnerGrants.postpone(millis);
+  }
+
   boolean released() {
     return released;
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -143,6 +143,11 @@
     return drain();
   }
 
+  /** Records that the local clock has advanced by a time that may not have passed. */
+  void clockAdvanced(long millis) {
+    keyedServices.values().forEach(keyedService -> keyedService.clockAdvanced(millis));
+  }
+
   /** Handles a change of the upstreams, the evacuated data centres or the configuration. */
   void catalogChanged() {
     keyedServices.values().forEach(KeyedService::upstreamsChanged);
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
@@ -32,6 +32,15 @@
   /** Time has passed. */
   record Tick(long atMillis) implements HostEvent {}
 
+  /**
+   * The clock of this host has advanced by a time that may not have passed: the host was suspended,
+   * or its time of day was set forward, which cannot be told apart. Precedes all events with a time
+   * after it.
+   *
+   * @param millis by how much the clock has advanced, in milliseconds
+   */
+  record ClockAdvanced(long atMillis, long millis) implements HostEvent {}
+
   /** A version of the configuration was read. */
   record ConfigurationRead(long atMillis, FleetConfiguration configuration) implements HostEvent {}
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -132,6 +132,9 @@
       performRequests(now, requestFlow.callerDisconnected(now, disconnected.request()));
     } else if (event instanceof HostEvent.Tick) {
       tick(now);
+    } else if (event instanceof HostEvent.ClockAdvanced advanced) {
+      log(LogEntry.of("clock-advanced").with("millis", advanced.millis()));
+      coordinator.ifPresent(c -> c.clockAdvanced(advanced.millis()));
     } else if (event instanceof HostEvent.CoordinatorMessageReceived received) {
       if (connected && received.term() == knownTerm()) {
         receiveFromCoordinator(now, received.message());
--- a/core/src/main/java/dev/hornbeamwheel/core/time/Clock.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/time/Clock.java
@@ -26,7 +26,7 @@
    * Returns a monotonic clock that also counts the time for which the host was suspended; not safe
    * for use by several threads.
    */
-  static Clock countingSuspension() {
+  static SuspensionClock countingSuspension() {
     return SuspensionClock.of(monotonic(), System::currentTimeMillis);
   }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
@@ -34,6 +34,7 @@
     assertThat(names(HostEvent.class, HostEvent::kindName))
         .containsOnly(
             entry(HostEvent.Tick.class, "Tick"),
+            entry(HostEvent.ClockAdvanced.class, "ClockAdvanced"),
             entry(HostEvent.ConfigurationRead.class, "ConfigurationRead"),
             entry(HostEvent.UpstreamsRead.class, "UpstreamsRead"),
             entry(HostEvent.UpstreamChanged.class, "UpstreamChanged"),
--- a/host/src/main/java/dev/hornbeamwheel/host/HostModule.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostModule.java
@@ -3,6 +3,7 @@
 import dagger.Module;
 import dagger.Provides;
 import dev.hornbeamwheel.core.time.Clock;
+import dev.hornbeamwheel.core.time.SuspensionClock;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -21,7 +22,7 @@
 
   @Provides
   @Singleton
-  static Clock clock() {
+  static SuspensionClock clock() {
     return Clock.countingSuspension();
   }
 
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -7,7 +7,7 @@
 import dev.hornbeamwheel.core.host.node.HostMessage;
 import dev.hornbeamwheel.core.host.node.HostNode;
 import dev.hornbeamwheel.core.host.slots.LinkId;
-import dev.hornbeamwheel.core.time.Clock;
+import dev.hornbeamwheel.core.time.SuspensionClock;
 import dev.hornbeamwheel.platform.site.CallerProtocol;
 import dev.hornbeamwheel.platform.site.PlatformAdapter;
 import dev.hornbeamwheel.runtime.cli.RunningProgram;
@@ -56,7 +56,7 @@
 
   private final HostSettings settings;
   private final EventLoopGroup loop;
-  private final Clock clock;
+  private final SuspensionClock clock;
   private final HostLog log;
   private final HostMetrics metrics;
   private final HostNode node;
@@ -68,6 +68,7 @@
   private final Deque<HostEvent> events = new ArrayDeque<>();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private boolean handlingEvents;
+  private long reportedSuspendedMillis;
   private long stoppingSinceMillis;
   private long sweepDueMillis;
   private long tickIntervalMillis;
@@ -75,7 +76,11 @@
 
   @Inject
   HostServer(
-      HostSettings settings, EventLoopGroup loop, Clock clock, HostLog log, HostMetrics metrics) {
+      HostSettings settings,
+      EventLoopGroup loop,
+      SuspensionClock clock,
+      HostLog log,
+      HostMetrics metrics) {
     this.settings = settings;
     this.loop = loop;
     this.clock = clock;
@@ -183,6 +188,11 @@
   }
 
   private void handle(HostEvent event) {
+    long advancedMillis = clock.suspendedMillis() - reportedSuspendedMillis;
+    if (advancedMillis > 0) {
+      reportedSuspendedMillis += advancedMillis;
+      events.add(new HostEvent.ClockAdvanced(event.atMillis(), advancedMillis));
+    }
     events.add(event);
     if (handlingEvents) {
       return;
