Keep released keys back until grants of the former term cannot be carried out

What callers would see: two upstreams hold and serve the same keys (OWNER). A grant that got no response may be applied seconds later, after newer grants. A new coordinator does not know which grants of the former one stayed unanswered. It waited 1,050 ms for their arrival, sent the release, and gave the keys on at its answer; a grant carried out after that made the previous owner hold the keys again for the rest of its hold time.

Cause: GrantTracker counted inherited grants as answered ones, which a release ends. They count as unanswered now, so a released range waits for their expiry, 11.25 s after the term's start at most; a previous owner that has ended frees its keys at once as before.

Cost, and what bounds it: keys of a live owner are not moved for balance while any unanswered grant of it may be valid (MovePlan, split off from KeyedService), in a new term and otherwise; it goes on serving them. Keys of a draining or unregistered owner do wait.

Tests, on an oracle that records every grant sent (GrantOracle): the first two of KeyHandOverTest failed before (keys 0 to 7280 granted 1.8 s before the expiry of an unanswered grant; 22 of 64 keys without a holder after a new term) and pass. KeyedServiceTest's scenarios pass.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
@@ -38,10 +38,10 @@
 
   private final Map<Long, InFlightGrant> inFlight = new HashMap<>();
 
-  /** Latest expiry of answered grants and of grants of earlier coordinators. */
+  /** Latest expiry of answered grants. */
   private long answeredExpiryMillis = NEVER;
 
-  /** Latest expiry of grants whose calls were reset without an answer. */
+  /** Latest expiry of unanswered grants and of grants of earlier coordinators. */
   private long unansweredExpiryMillis = NEVER;
 
   /** Time until which an answered grant certainly lasts. */
@@ -65,7 +65,8 @@
    */
   static GrantTracker grantedUntil(long expiryMillis, long arrivalMillis) {
     GrantTracker tracker = new GrantTracker();
-    tracker.answeredExpiryMillis = expiryMillis;
+    // They may have stayed unanswered, so that a release does not end them.
+    tracker.unansweredExpiryMillis = expiryMillis;
     tracker.inheritedArrivalMillis = arrivalMillis;
     return tracker;
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -169,18 +169,22 @@
       boolean suspected = detector.suspected(nowMillis, range.assignment().owner().incarnation());
       return suspected ? Math.max(earliest, range.ownerGrants().latestExpiryMillis()) : earliest;
     }
-    boolean previousSuspected =
-        range.phase() == Phase.RELEASING
-            && range
-                .assignment()
-                .previousOwner()
-                .filter(previous -> detector.suspected(nowMillis, previous.incarnation()))
-                .isPresent();
-    return previousSuspected
-        ? Math.max(earliest, range.previousOwnerGrants().latestExpiryMillis())
+    return range.phase() == Phase.RELEASING
+        ? Math.max(earliest, releaseEndMillis(nowMillis, range))
         : earliest;
   }
 
+  /** Estimates when the previous owner of a range no longer holds it, if that takes long. */
+  private long releaseEndMillis(long nowMillis, OwnedRange range) {
+    KeyOwner previous = range.assignment().previousOwner().orElseThrow();
+    if (detector.suspected(nowMillis, previous.incarnation())) {
+      return range.previousOwnerGrants().latestExpiryMillis();
+    }
+    return catalog.superseded(previous.incarnation(), previous.address())
+        ? nowMillis
+        : range.previousOwnerGrants().unansweredExpiryMillis();
+  }
+
   /** Returns all assignments, sorted by range. */
   public List<KeyAssignment> assignments() {
     return ranges.stream().map(OwnedRange::assignment).toList();
@@ -441,19 +445,8 @@
       proposeInitialOwners(nowMillis, eligible);
       return;
     }
-    List<KeyPlanner.MovableRange> movable =
-        ranges.stream()
-            .filter(range -> range.phase() != Phase.RELEASING)
-            .filter(
-                range -> range.phase() == Phase.HELD || eligibility.needsNewOwner(nowMillis, range))
-            .map(
-                range ->
-                    new KeyPlanner.MovableRange(
-                        range.range(),
-                        range.assignment().owner().incarnation().id(),
-                        eligibility.needsNewOwner(nowMillis, range)))
-            .toList();
-    List<KeyMove> moves = KeyPlanner.plan(movable, eligible, demand, capacity);
+    List<KeyMove> moves =
+        MovePlan.moves(nowMillis, ranges, eligibility, eligible, demand, capacity);
     if (!moves.isEmpty() || tableCleanupDue) {
       proposeMoves(moves);
     }
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/MovePlan.java
@@ -0,0 +1,65 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
+import dev.hornbeamwheel.core.host.keys.OwnedRange.Phase;
+import java.util.List;
+
+/** Selects the ranges that may move now and plans their moves. */
+final class MovePlan {
+  private final long nowMillis;
+  private final OwnedRanges ranges;
+  private final OwnerEligibility eligibility;
+
+  private MovePlan(long nowMillis, OwnedRanges ranges, OwnerEligibility eligibility) {
+    this.nowMillis = nowMillis;
+    this.ranges = ranges;
+    this.eligibility = eligibility;
+  }
+
+  /**
+   * Returns the moves to make.
+   *
+   * <p>Keys leave an owner that serves them only if its grants were all answered: otherwise they
+   * would wait for the expiry of the unanswered ones, because a release does not end those.
+   *
+   * @param eligible upstreams that may own keys
+   */
+  static List<KeyMove> moves(
+      long nowMillis,
+      OwnedRanges ranges,
+      OwnerEligibility eligibility,
+      List<UpstreamRegistration> eligible,
+      KeyDemand demand,
+      Capacity capacity) {
+    MovePlan plan = new MovePlan(nowMillis, ranges, eligibility);
+    return KeyPlanner.plan(plan.movable(), eligible, demand, capacity).stream()
+        .filter(plan::mayStart)
+        .toList();
+  }
+
+  private List<KeyPlanner.MovableRange> movable() {
+    return ranges.stream()
+        .filter(range -> range.phase() != Phase.RELEASING)
+        .filter(range -> range.phase() == Phase.HELD || needsNewOwner(range))
+        .map(
+            range ->
+                new KeyPlanner.MovableRange(
+                    range.range(),
+                    range.assignment().owner().incarnation().id(),
+                    needsNewOwner(range)))
+        .toList();
+  }
+
+  private boolean mayStart(KeyMove move) {
+    return ranges
+        .find(move.range().first())
+        .filter(
+            range ->
+                needsNewOwner(range) || nowMillis > range.ownerGrants().unansweredExpiryMillis())
+        .isPresent();
+  }
+
+  private boolean needsNewOwner(OwnedRange range) {
+    return eligibility.needsNewOwner(nowMillis, range);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/FuzzedTableStore.java
@@ -0,0 +1,94 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.function.Consumer;
+
+/**
+ * A store of one table that loses answers and applies some writes seconds after it gave up on them.
+ */
+final class FuzzedTableStore {
+  /** Time after which a call without an answer is given up, in milliseconds. */
+  private static final int CALL_TIMEOUT_MILLIS = 600;
+
+  /** Maximum delay of a write that is applied without an answer, in milliseconds. */
+  private static final int MAX_LATE_MILLIS = 4_000;
+
+  private static final int MAX_DELAY_MILLIS = 60;
+
+  /** A callback that is due after a delay. */
+  interface Scheduler {
+    void schedule(long afterMillis, Runnable task);
+  }
+
+  private final Random random;
+  private final Scheduler scheduler;
+  private Optional<KeyTable> row = Optional.empty();
+  private long version;
+  boolean down;
+  double faultRate;
+
+  /** Delay with which the next write is applied after its call was given up, in milliseconds. */
+  OptionalInt nextWriteLateMillis = OptionalInt.empty();
+
+  FuzzedTableStore(Random random, Scheduler scheduler) {
+    this.random = random;
+    this.scheduler = scheduler;
+  }
+
+  void read(Consumer<TableReadResult> callback) {
+    if (down || faulty()) {
+      scheduler.schedule(CALL_TIMEOUT_MILLIS, () -> callback.accept(new TableReadResult.Failed()));
+      return;
+    }
+    scheduler.schedule(
+        delayMillis(),
+        () -> {
+          TableReadResult found = new TableReadResult.Found(row, version);
+          scheduler.schedule(delayMillis(), () -> callback.accept(found));
+        });
+  }
+
+  void write(KeyEffect.WriteTable write, Consumer<TableWriteResult> callback) {
+    if (nextWriteLateMillis.isPresent()) {
+      applyLate(write, CALL_TIMEOUT_MILLIS + nextWriteLateMillis.getAsInt(), callback);
+      nextWriteLateMillis = OptionalInt.empty();
+    } else if (down && random.nextBoolean()) {
+      scheduler.schedule(delayMillis(), () -> callback.accept(new TableWriteResult.NotApplied()));
+    } else if (down || faulty()) {
+      applyLate(write, random.nextInt(MAX_LATE_MILLIS), callback);
+    } else {
+      scheduler.schedule(
+          delayMillis(),
+          () -> {
+            TableWriteResult result = apply(write);
+            scheduler.schedule(delayMillis(), () -> callback.accept(result));
+          });
+    }
+  }
+
+  private void applyLate(
+      KeyEffect.WriteTable write, int afterMillis, Consumer<TableWriteResult> callback) {
+    scheduler.schedule(afterMillis, () -> apply(write));
+    scheduler.schedule(
+        CALL_TIMEOUT_MILLIS, () -> callback.accept(new TableWriteResult.Unconfirmed()));
+  }
+
+  private TableWriteResult apply(KeyEffect.WriteTable write) {
+    if (write.expectedVersion() != version) {
+      return new TableWriteResult.Unconfirmed();
+    }
+    row = Optional.of(write.table());
+    version++;
+    return new TableWriteResult.Written(version);
+  }
+
+  private boolean faulty() {
+    return random.nextDouble() < faultRate;
+  }
+
+  private int delayMillis() {
+    return 1 + random.nextInt(MAX_DELAY_MILLIS);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
@@ -0,0 +1,67 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Tests that keys change their owner only when the previous one certainly no longer holds them. */
+final class KeyHandOverTest {
+  private static final int UPSTREAMS = 3;
+
+  private final KeyedServiceFuzz fuzz = new KeyedServiceFuzz(UPSTREAMS, 2026120511L);
+
+  // Guards against two holders after a new term, when a grant that the former coordinator left
+  // unanswered is carried out after the release.
+  @Test
+  void releasedKeysWaitForUnansweredGrantsOfTheFormerTerm() {
+    fuzz.run(5_000);
+    FakeUpstream leaving = fuzz.process(0);
+    fuzz.unansweredGrants.add(leaving.registration.id());
+    fuzz.run(1_700);
+    fuzz.unansweredGrants.clear();
+
+    fuzz.startTerm();
+    fuzz.drain(leaving);
+    fuzz.run(14_000);
+
+    assertThat(fuzz.oracle.violations()).isEmpty();
+    assertThat(fuzz.keysWithoutHolder()).isZero();
+  }
+
+  // Guards against moves for balance that leave keys without a holder for seconds, while unanswered
+  // grants of their owner may still be carried out.
+  @Test
+  void keysOfALiveOwnerStayThereUntilUnansweredGrantsHaveExpired() {
+    fuzz.run(5_000);
+    fuzz.startTerm();
+    fuzz.run(500);
+
+    long withoutHolder = 0;
+    for (int i = 0; i < 100; i++) {
+      IntStream.range(0, 120).forEach(j -> fuzz.demand.add(fuzz.nowMillis, 400 + j % 40));
+      fuzz.run(100);
+      withoutHolder = Math.max(withoutHolder, fuzz.keysWithoutHolder());
+    }
+
+    assertThat(withoutHolder).isZero();
+    assertThat(fuzz.oracle.violations()).isEmpty();
+  }
+
+  // Guards against requests that wait for keys which cannot be served before their deadlines.
+  @Test
+  void callersLearnWhenReleasedKeysWillBeReady() {
+    fuzz.run(5_000);
+    fuzz.startTerm();
+    fuzz.run(2_000);
+    fuzz.drain(fuzz.process(0));
+    fuzz.run(500);
+    assertThat(fuzz.service().holder(fuzz.nowMillis, 17)).isEmpty();
+    long readyMillis = fuzz.service().readyMillis(fuzz.nowMillis, 17);
+
+    fuzz.run(readyMillis - fuzz.nowMillis - 100);
+    assertThat(fuzz.service().holder(fuzz.nowMillis, 17)).isEmpty();
+    fuzz.run(500);
+    assertThat(fuzz.service().holder(fuzz.nowMillis, 17)).isPresent();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceFuzz.java
@@ -0,0 +1,338 @@
+package dev.hornbeamwheel.core.host.keys;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.catalog.CallerLimits;
+import dev.hornbeamwheel.core.host.catalog.Catalog;
+import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
+import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
+import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+
+/**
+ * Runs a keyed service in virtual time against upstreams and a store with random faults, and has
+ * each grant checked by a {@link GrantOracle}.
+ */
+final class KeyedServiceFuzz {
+  static final ServiceId SERVICE = ServiceId.of("stock-ledger");
+  private static final int STEP_MILLIS = 10;
+  private static final long HOLD_MAX_MILLIS = 10_000;
+  private static final long GRANT_TIMEOUT_MILLIS = 700;
+  private static final long RELEASE_TIMEOUT_MILLIS = 3_000;
+
+  /** Maximum time by which a busy coordinator resets a call late, in milliseconds. */
+  private static final int MAX_RESET_DELAY_MILLIS = 200;
+
+  /** Maximum delay of an order and of its answer, in milliseconds. */
+  private static final int MAX_DELAY_MILLIS = 40;
+
+  /** Maximum pause of the coordinator's process, in milliseconds. */
+  private static final int MAX_PAUSE_MILLIS = 1_500;
+
+  private static final int[] SAMPLED_KEYS =
+      IntStream.range(0, 64).map(i -> i * 1_024 + 17).toArray();
+
+  private record Task(long atMillis, long id, Runnable run) {}
+
+  final Random random;
+  final Catalog catalog = Catalog.empty();
+  final KeyDemand demand = KeyDemand.empty();
+  final FuzzedTableStore store;
+  final GrantOracle oracle = new GrantOracle(this::receiver);
+  private final Map<Address, FakeUpstream> processes = new HashMap<>();
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(Comparator.comparingLong(Task::atMillis).thenComparingLong(Task::id));
+  private long nextTaskId;
+  private int starts;
+  private long term;
+  private long pausedUntilMillis;
+  private KeyedService service;
+  long nowMillis;
+
+  /** Fraction of orders that are not sent, refused, fenced, slow, lost or not answered. */
+  double orderFaultRate;
+
+  /** Upstreams that carry out grants without an answer. */
+  final Set<UpstreamId> unansweredGrants = new HashSet<>();
+
+  /** Probability that the coordinator's process pauses after a decision, per step. */
+  double pauseRate;
+
+  KeyedServiceFuzz(int upstreams, long seed) {
+    random = new Random(seed);
+    store = new FuzzedTableStore(random, this::schedule);
+    catalog.configure(
+        FleetConfiguration.of(
+            1,
+            List.of(),
+            List.of(new ServiceSpec(SERVICE, true, "/health", 100, 0)),
+            new CallerLimits(1, 1, 1, 1)));
+    startTerm();
+    IntStream.range(0, upstreams).forEach(place -> start(place, newId(place)));
+  }
+
+  KeyedService service() {
+    return service;
+  }
+
+  static Address address(int place) {
+    return new Address("10.1.0." + place, 80);
+  }
+
+  FakeUpstream process(int place) {
+    return processes.get(address(place));
+  }
+
+  UpstreamId newId(int place) {
+    return UpstreamId.of("i-" + place + "-" + starts);
+  }
+
+  /** Starts a process in place of the one that runs or ran at the same address. */
+  void start(int place, UpstreamId id) {
+    starts++;
+    FakeUpstream started =
+        new FakeUpstream(
+            new UpstreamRegistration(
+                new UpstreamIncarnation(id, 1_000 + nowMillis),
+                SERVICE,
+                address(place),
+                DataCentreId.of("dc-" + place % 3),
+                2,
+                false,
+                0));
+    FakeUpstream replaced = processes.put(address(place), started);
+    if (replaced != null) {
+      replaced.up = false;
+    }
+    register(started.registration);
+  }
+
+  void register(UpstreamRegistration registration) {
+    catalog.putUpstream(registration);
+    service().upstreamsChanged();
+  }
+
+  /** Registers that a process is draining. */
+  void drain(FakeUpstream process) {
+    UpstreamRegistration old = process.registration;
+    register(
+        new UpstreamRegistration(
+            old.incarnation(), SERVICE, old.address(), old.dataCentre(), old.slots(), true, 0));
+  }
+
+  void unregister(UpstreamId id) {
+    catalog.removeUpstream(nowMillis, id);
+    service().upstreamsChanged();
+  }
+
+  /** Starts a new term; calls of the former one stay open until they end by themselves. */
+  void startTerm() {
+    term++;
+    pausedUntilMillis = 0;
+    service =
+        KeyedService.startTerm(
+            nowMillis, SERVICE, catalog, registration -> 10, demand, HOLD_MAX_MILLIS);
+  }
+
+  void run(long millis) {
+    for (long end = nowMillis + millis; nowMillis < end; nowMillis += STEP_MILLIS) {
+      while (!tasks.isEmpty() && tasks.peek().atMillis() <= nowMillis) {
+        tasks.poll().run().run();
+      }
+      if (nowMillis >= pausedUntilMillis) {
+        tick();
+      }
+    }
+  }
+
+  private void tick() {
+    List<KeyEffect> effects = service.tick(nowMillis, store.down);
+    long decisionTerm = term;
+    if (random.nextDouble() < pauseRate) {
+      pausedUntilMillis = nowMillis + random.nextInt(MAX_PAUSE_MILLIS);
+      schedule(pausedUntilMillis - nowMillis, () -> perform(decisionTerm, effects));
+    } else {
+      perform(decisionTerm, effects);
+    }
+  }
+
+  /** Returns the number of sampled keys without a confirmed holder. */
+  long keysWithoutHolder() {
+    return IntStream.of(SAMPLED_KEYS)
+        .filter(key -> service.holder(nowMillis, key).isEmpty())
+        .count();
+  }
+
+  private Optional<FakeUpstream> receiver(KeyEffect.Grant grant) {
+    return Optional.of(processes.get(grant.address()))
+        .filter(upstream -> upstream.up && upstream.registration.id().equals(grant.upstream()));
+  }
+
+  private void perform(long sentTerm, List<KeyEffect> effects) {
+    for (KeyEffect effect : effects) {
+      if (effect instanceof KeyEffect.ReadTable) {
+        store.read(result -> deliver(sentTerm, () -> service.tableRead(nowMillis, result)));
+      } else if (effect instanceof KeyEffect.WriteTable write) {
+        store.write(
+            write, result -> deliver(sentTerm, () -> service.tableWritten(nowMillis, result)));
+      } else if (effect instanceof KeyEffect.Grant grant) {
+        grant(sentTerm, grant);
+      } else if (effect instanceof KeyEffect.Release release) {
+        release(sentTerm, release);
+      }
+    }
+  }
+
+  private void grant(long sentTerm, KeyEffect.Grant order) {
+    if (nowMillis > order.sendByMillis()) {
+      orderEnded(sentTerm, order.orderId(), new OrderResult.NotSent("delayed"));
+      return;
+    }
+    GrantOracle.SentGrant sent = oracle.grantSent(nowMillis, order);
+    call(
+        sentTerm,
+        order.address(),
+        order.upstream(),
+        GRANT_TIMEOUT_MILLIS,
+        upstream -> {
+          OrderResult result = upstream.grant(nowMillis, nowMillis, order);
+          return unansweredGrants.contains(order.upstream())
+              ? Optional.empty()
+              : Optional.of(result);
+        },
+        result -> {
+          oracle.grantEnded(nowMillis, sent, result);
+          orderEnded(sentTerm, order.orderId(), result);
+        });
+  }
+
+  private void release(long sentTerm, KeyEffect.Release order) {
+    GrantOracle.SentRelease sent = oracle.releaseSent(nowMillis, order);
+    call(
+        sentTerm,
+        order.address(),
+        order.upstream(),
+        RELEASE_TIMEOUT_MILLIS,
+        upstream -> Optional.of(upstream.release(order)),
+        result -> {
+          if (result instanceof OrderResult.Done) {
+            oracle.releaseAnswered(sent);
+          }
+          orderEnded(sentTerm, order.orderId(), result);
+        });
+  }
+
+  private void orderEnded(long sentTerm, long orderId, OrderResult result) {
+    deliver(sentTerm, () -> service.orderEnded(nowMillis, orderId, result));
+  }
+
+  /** An order that an upstream carries out; the result is empty if it gives no answer. */
+  private interface Order {
+    Optional<OrderResult> execute(FakeUpstream upstream);
+  }
+
+  private void call(
+      long sentTerm,
+      Address address,
+      UpstreamId target,
+      long timeoutMillis,
+      Order order,
+      Consumer<OrderResult> ended) {
+    boolean[] over = {false};
+    Consumer<OrderResult> end = result -> endWhenAwake(sentTerm, over, result, ended);
+    schedule(
+        timeoutMillis + random.nextInt(MAX_RESET_DELAY_MILLIS),
+        () -> end.accept(new OrderResult.Unanswered("no answer")));
+    schedule(
+        delayMillis(),
+        () ->
+            answer(processes.get(address), target, order)
+                .ifPresent(result -> schedule(delayMillis(), () -> end.accept(result))));
+  }
+
+  /** Ends a call once; a paused coordinator notices only after the pause. */
+  private void endWhenAwake(
+      long sentTerm, boolean[] over, OrderResult result, Consumer<OrderResult> ended) {
+    if (over[0]) {
+      return;
+    }
+    if (sentTerm == term && nowMillis < pausedUntilMillis) {
+      schedule(pausedUntilMillis - nowMillis, () -> endWhenAwake(sentTerm, over, result, ended));
+      return;
+    }
+    over[0] = true;
+    ended.accept(result);
+  }
+
+  private Optional<OrderResult> answer(FakeUpstream upstream, UpstreamId target, Order order) {
+    if (!upstream.up) {
+      return random.nextBoolean()
+          ? Optional.of(new OrderResult.NotSent("connection refused"))
+          : Optional.empty();
+    }
+    if (upstream.unreachable) {
+      return Optional.empty();
+    }
+    if (!upstream.registration.id().equals(target)) {
+      return Optional.of(new OrderResult.Misdirected());
+    }
+    if (upstream.refusing) {
+      return Optional.of(new OrderResult.Refused(503));
+    }
+    return random.nextDouble() < orderFaultRate
+        ? faultyAnswer(upstream, order)
+        : order.execute(upstream);
+  }
+
+  private Optional<OrderResult> faultyAnswer(FakeUpstream upstream, Order order) {
+    return switch (random.nextInt(8)) {
+      case 0 -> Optional.of(new OrderResult.Refused(503));
+      case 1 -> Optional.of(new OrderResult.NotSent("no connection"));
+      case 2 -> {
+        order.execute(upstream);
+        yield Optional.of(new OrderResult.Unanswered("connection closed"));
+      }
+      case 3 -> {
+        order.execute(upstream);
+        yield Optional.empty();
+      }
+      default -> Optional.empty();
+    };
+  }
+
+  private interface CoordinatorEvent {
+    List<KeyEffect> handle();
+  }
+
+  private void deliver(long sentTerm, CoordinatorEvent event) {
+    if (sentTerm != term) {
+      return;
+    }
+    if (nowMillis < pausedUntilMillis) {
+      schedule(pausedUntilMillis - nowMillis, () -> deliver(sentTerm, event));
+    } else {
+      perform(sentTerm, event.handle());
+    }
+  }
+
+  private int delayMillis() {
+    return 1 + random.nextInt(MAX_DELAY_MILLIS);
+  }
+
+  void schedule(long afterMillis, Runnable run) {
+    tasks.add(new Task(nowMillis + afterMillis, nextTaskId++, run));
+  }
+}
