Assign no keys to an upstream that has ended while its entry lingers

What callers saw or would see: keys without an owner after an upstream crashed and its successor started at the same address. Its entry stays for three heartbeats of silence, beside that of the successor. The planner took it for an upstream without keys and moved keys to it; grants to it are held back, because a later start was seen at its address, so the keys were moved again 200 ms later, and again to it, with two table writes each time.

Cause: needsNewOwner() asks whether the owner is superseded, eligible() did not. The same held for a live upstream at whose address another writer's entry names a later start: keys no longer move to it in turns.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnerEligibility.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnerEligibility.java
@@ -23,11 +23,20 @@
     this.unreachable = cutOff;
   }
 
-  /** Returns the usable upstreams that are not suspected, or all usable ones if all are. */
+  /**
+   * Returns the usable upstreams that are not suspected, or all usable ones if all are.
+   *
+   * <p>The registration of an upstream that has ended may remain for several heartbeats.
+   */
   List<UpstreamRegistration> eligible(long nowMillis, ServiceId service) {
     Predicate<UpstreamRegistration> suspected =
         registration -> detector.suspected(nowMillis, registration.incarnation());
-    List<UpstreamRegistration> usable = catalog.usable(service);
+    List<UpstreamRegistration> usable =
+        catalog.usable(service).stream()
+            .filter(
+                registration ->
+                    !catalog.superseded(registration.incarnation(), registration.address()))
+            .toList();
     List<UpstreamRegistration> responsive = usable.stream().filter(suspected.negate()).toList();
     return responsive.isEmpty() ? usable : responsive;
   }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
@@ -64,4 +64,17 @@
     fuzz.run(500);
     assertThat(fuzz.service().holder(fuzz.nowMillis, 17)).isPresent();
   }
+
+  // Guards against keys that move to an upstream which has ended, while its entry is still there
+  // beside that of the next process at its address.
+  @Test
+  void noKeysAreAssignedToAnEndedUpstreamWhoseEntryLingers() {
+    fuzz.run(5_000);
+    fuzz.start(0, fuzz.newId(0));
+
+    fuzz.run(1_000);
+
+    assertThat(fuzz.keysWithoutHolder()).isZero();
+    assertThat(fuzz.oracle.violations()).isEmpty();
+  }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceFuzz.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceFuzz.java
@@ -42,6 +42,8 @@
   /** Maximum pause of the coordinator's process, in milliseconds. */
   private static final int MAX_PAUSE_MILLIS = 1_500;
 
+  private static final long FAR_OFF_UNIX_MILLIS = 4_000_000_000_000L;
+
   private static final int[] SAMPLED_KEYS =
       IntStream.range(0, 64).map(i -> i * 1_024 + 17).toArray();
 
@@ -133,6 +135,18 @@
             old.incarnation(), SERVICE, old.address(), old.dataCentre(), old.slots(), true, 0));
   }
 
+  /** Returns another writer's entry at the address of an upstream, with a far-off start. */
+  static UpstreamRegistration laterEntry(UpstreamRegistration at, ServiceId service) {
+    return new UpstreamRegistration(
+        new UpstreamIncarnation(UpstreamId.of("other-" + at.id().value()), FAR_OFF_UNIX_MILLIS),
+        service,
+        at.address(),
+        at.dataCentre(),
+        at.slots(),
+        true,
+        0);
+  }
+
   void unregister(UpstreamId id) {
     catalog.removeUpstream(nowMillis, id);
     service().upstreamsChanged();
