Let unanswered grants expire where the previous owner answers under its id

What callers would see: two upstreams hold and serve the same keys (OWNER), in two ways, neither seen in a record of the users.

An upstream restarts under the id that it had, while a grant is in flight. The new process takes the grant, because the id is right, and may carry it out seconds later. It answers the release, and the keys were given on at once. 2. Another writer's entry names the address of a live upstream and a later start (`born`). The live one counts as ended; it answers the release, and its keys were given on at once, though it may still carry out a grant that it has left unanswered.

Cause: a later incarnation in the catalogue together with any answer to the release passed for proof that the upstream has ended, and with it its unanswered grants. Such an answer proves that only if it comes from another upstream (421, Misdirected); that one refuses the grants, too. So keys are given on at once only then. An upstream that answers under its id has its unanswered grants expire first, as without a later incarnation.

Cost: only after a restart under the same id with unanswered grants, and then 3.2 s after the last one at most (11.25 s after the start of a term).

Ruled out: an entry with a service that is not declared (the catalogue does not believe it). Tests: the two of KeyHandOverTest that this commit adds; both failed before, with keys granted 3.1 s before the expiry of an unanswered grant.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyDecisionLog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyDecisionLog.java
@@ -12,27 +12,27 @@
   /**
    * Returns the entry for a range that its previous owner certainly no longer holds.
    *
-   * @param superseded whether a later incarnation of the previous owner has been seen
+   * @param ended whether the previous owner has certainly ended
    */
-  KeyEffect.Note keysFreed(long nowMillis, OwnedRange range, boolean superseded) {
+  KeyEffect.Note keysFreed(long nowMillis, OwnedRange range, boolean ended) {
     GrantTracker grants = range.previousOwnerGrants();
     return entry(
         "keys-free",
         range.range()
             + " of "
             + range.assignment().previousOwner().map(KeyDecisionLog::describe).orElse("-"),
-        reasonFreed(grants.expired(nowMillis), superseded)
+        reasonFreed(grants.expired(nowMillis), ended)
             + (range.handover().isPresent() ? ", with hand-over state; " : "; ")
             + grants.describe(nowMillis)
             + "; next owner "
             + describe(range.assignment().owner()));
   }
 
-  private static String reasonFreed(boolean expired, boolean superseded) {
+  private static String reasonFreed(boolean expired, boolean ended) {
     if (expired) {
       return "grants have expired";
     }
-    return superseded ? "release answered, later incarnation seen" : "release answered";
+    return ended ? "release answered, later incarnation seen" : "release answered";
   }
 
   /** Returns the entry for a range whose new owner has confirmed its grant. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -18,7 +18,9 @@
  * <p>A change of owner is written to the store first. Then the previous owner is asked to release
  * the keys. The new owner gets its grant when the release is answered or the previous owner's
  * grants have expired. A later incarnation at the previous owner's address is asked to release the
- * keys, too, because the last renewal may have reached it.
+ * keys, too, because the last renewal may have reached it. The previous owner has ended if a later
+ * incarnation was seen and another upstream answers at its address; one that answers the release
+ * under its id may still carry out grants that it has not answered.
  */
 public final class KeyedService {
   /** Hold time of a grant under normal conditions, in milliseconds. */
@@ -180,7 +182,8 @@
     if (detector.suspected(nowMillis, previous.incarnation())) {
       return range.previousOwnerGrants().latestExpiryMillis();
     }
-    return catalog.superseded(previous.incarnation(), previous.address())
+    boolean superseded = catalog.superseded(previous.incarnation(), previous.address());
+    return superseded && !range.released()
         ? nowMillis
         : range.previousOwnerGrants().unansweredExpiryMillis();
   }
@@ -335,11 +338,12 @@
 
   private void release(long nowMillis, OwnedRange range) {
     KeyOwner previous = range.assignment().previousOwner().orElseThrow();
-    boolean superseded = catalog.superseded(previous.incarnation(), previous.address());
+    boolean ended =
+        range.misdirected() && catalog.superseded(previous.incarnation(), previous.address());
     if (range.previousOwnerGrants().expired(nowMillis)
         || (range.released()
-            && (superseded || nowMillis > range.previousOwnerGrants().unansweredExpiryMillis()))) {
-      pendingEffects.add(decisionLog.keysFreed(nowMillis, range, superseded));
+            && (ended || nowMillis > range.previousOwnerGrants().unansweredExpiryMillis()))) {
+      pendingEffects.add(decisionLog.keysFreed(nowMillis, range, ended));
       range.startGranting();
       return;
     }
@@ -367,7 +371,7 @@
       release(nowMillis, range);
     } else if (result instanceof OrderResult.Misdirected) {
       pendingEffects.add(decisionLog.orderFailed(nowMillis, "release", range, previous, result));
-      range.markReleased(Optional.empty());
+      range.markMisdirected();
       release(nowMillis, range);
     } else {
       pendingEffects.add(decisionLog.orderFailed(nowMillis, "release", range, previous, result));
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
@@ -20,6 +20,7 @@
   private GrantTracker ownerGrants;
   private GrantTracker previousOwnerGrants;
   private boolean released;
+  private boolean misdirected;
   private boolean everGranted;
   private boolean fenced;
   private Optional<String> handover = Optional.empty();
@@ -83,6 +84,7 @@
         new OwnedRange(
             assignment.withRange(range), phase, ownerGrants.copy(), previousOwnerGrants.copy());
     part.released = released;
+    part.misdirected = misdirected;
     part.everGranted = everGranted;
     part.handover = handover;
     return part;
@@ -135,6 +137,11 @@
     return released;
   }
 
+  /** Returns whether a different upstream has answered the release. */
+  boolean misdirected() {
+    return misdirected;
+  }
+
   boolean everGranted() {
     return everGranted;
   }
@@ -163,6 +170,12 @@
     handover = handoverState;
   }
 
+  /** Records that a different upstream has answered the release at the previous owner's address. */
+  void markMisdirected() {
+    released = true;
+    misdirected = true;
+  }
+
   /** Starts granting the range to its owner, as the previous owner no longer holds it. */
   void startGranting() {
     phase = Phase.GRANTING;
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
@@ -65,6 +65,40 @@
     assertThat(fuzz.service().holder(fuzz.nowMillis, 17)).isPresent();
   }
 
+  // Guards against two holders when an upstream restarts under its id, and the new process carries
+  // out an unanswered grant after it has answered the release.
+  @Test
+  void releasedKeysOfAnUpstreamRestartedUnderItsIdWaitForUnansweredGrants() {
+    fuzz.run(5_000);
+    FakeUpstream ended = fuzz.process(0);
+    fuzz.unansweredGrants.add(ended.registration.id());
+    fuzz.run(750);
+    fuzz.start(0, ended.registration.id());
+    fuzz.drain(fuzz.process(0));
+    fuzz.run(750);
+    fuzz.unansweredGrants.clear();
+    fuzz.run(5_000);
+
+    assertThat(fuzz.oracle.violations()).isEmpty();
+    assertThat(fuzz.keysWithoutHolder()).isZero();
+  }
+
+  // Guards against two holders when another writer's entry names the address of a live upstream and
+  // a later start than its own.
+  @Test
+  void releasedKeysWaitForUnansweredGrantsDespiteALaterEntryAtTheirAddress() {
+    fuzz.run(5_000);
+    FakeUpstream alive = fuzz.process(0);
+    fuzz.unansweredGrants.add(alive.registration.id());
+    fuzz.run(750);
+    fuzz.register(KeyedServiceFuzz.laterEntry(alive.registration, KeyedServiceFuzz.SERVICE));
+    fuzz.run(750);
+    fuzz.unansweredGrants.clear();
+    fuzz.run(5_000);
+
+    assertThat(fuzz.oracle.violations()).isEmpty();
+  }
+
   // Guards against keys that move to an upstream which has ended, while its entry is still there
   // beside that of the next process at its address.
   @Test
