Ask an owner again whose grants have expired or that refused its first one

What callers would see: keys without an owner for as long as the coordinator's term lasts. One upstream that refused its first grant, or that a held-up coordinator did not send it in time, drew more and more keys: it had none, so the planner moved keys to it every 200 ms, and none was ever granted.

Cause: after a failed order an upstream gets only grants of 500 ms that do not extend the expiry of its earlier ones. Without earlier ones, or after their expiry, there is no such grant. With one failure it is not suspected either (two are needed), so its keys were neither granted nor reassigned. And while the store is down, nobody can be reassigned keys; an owner that was back was asked again only after the store was.

Now a probe is held back only where it could delay a reassignment: the owner is suspected, and its grants have not been expired for a second yet. The choice of hold times is a module of its own (GrantHoldTimes).

Tests, failed before: anOwnerThatRefusedItsFirstGrantIsAskedAgain (56 of 64 sampled keys without a holder a second after a single upstream of three had refused; now 0), anOwnerIsAskedAgainWhileTheStoreIsUnavailable (22 of 64, now 0).

Ruled out: three upstreams, each out of reach for 12 s, have their keys again within 5 s before and after.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
 /**
@@ -26,9 +27,6 @@
   /** Hold time of a grant under normal conditions, in milliseconds. */
   static final long HOLD_MILLIS = 3_000;
 
-  /** Hold time of a grant that probes an unresponsive upstream, in milliseconds. */
-  private static final long PROBE_HOLD_MILLIS = 500;
-
   /** Interval between two renewals of the grant of a range, in milliseconds. */
   static final long RENEWAL_INTERVAL_MILLIS = 750;
 
@@ -62,6 +60,7 @@
   private final KeyDecisionLog decisionLog;
   private final UnreachableDataCentres unreachable;
   private final OwnerEligibility eligibility;
+  private final GrantHoldTimes holdTimes;
   private final InFlightOrders inFlightOrders = new InFlightOrders();
   private final List<KeyEffect> pendingEffects = new ArrayList<>();
 
@@ -93,6 +92,7 @@
     this.holdMaxMillis = holdMaxMillis;
     this.unreachable = new UnreachableDataCentres(catalog);
     this.eligibility = new OwnerEligibility(catalog, detector, unreachable);
+    this.holdTimes = new GrantHoldTimes(detector, unreachable, holdMaxMillis);
   }
 
   /**
@@ -383,15 +383,11 @@
     if (range.fenced() || catalog.superseded(owner.incarnation(), owner.address())) {
       return;
     }
-    long holdMillis = storeMaybeUnavailable ? holdMaxMillis : Math.min(HOLD_MILLIS, holdMaxMillis);
-    if (detector.failedSinceLastAnswer(owner.incarnation()) && !unreachable.contains(owner)) {
-      // A longer hold time would delay the reassignment of keys if the upstream is lost.
-      holdMillis = PROBE_HOLD_MILLIS;
-      if (GrantTracker.latestExpiryOfGrant(nowMillis, holdMillis)
-          > range.ownerGrants().latestExpiryMillis()) {
-        return;
-      }
+    OptionalLong hold = holdTimes.holdMillis(nowMillis, range, storeMaybeUnavailable);
+    if (hold.isEmpty()) {
+      return;
     }
+    long holdMillis = hold.getAsLong();
     detector.orderSent(nowMillis, owner.incarnation());
     long orderId = registerOrder(range, true);
     range.ownerGrants().sent(nowMillis, orderId, holdMillis);
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
@@ -111,4 +111,32 @@
     assertThat(fuzz.keysWithoutHolder()).isZero();
     assertThat(fuzz.oracle.violations()).isEmpty();
   }
+
+  // Guards against keys without a holder for ever, after their owner has refused its first grant.
+  @Test
+  void anOwnerThatRefusedItsFirstGrantIsAskedAgain() {
+    fuzz.process(0).refusing = true;
+    fuzz.run(KeyedService.INITIAL_OWNERS_DELAY_MILLIS + 400);
+    fuzz.process(0).refusing = false;
+
+    fuzz.run(1_000);
+
+    assertThat(fuzz.keysWithoutHolder()).isZero();
+  }
+
+  // Guards against keys without a holder until the store is back, though their owner is.
+  @Test
+  void anOwnerIsAskedAgainWhileTheStoreIsUnavailable() {
+    fuzz.run(5_000);
+    fuzz.process(0).unreachable = true;
+    fuzz.run(1_000);
+    fuzz.store.down = true;
+    fuzz.run(12_000);
+    fuzz.process(0).unreachable = false;
+
+    fuzz.run(4_000);
+
+    assertThat(fuzz.keysWithoutHolder()).isZero();
+    assertThat(fuzz.oracle.violations()).isEmpty();
+  }
 }
