Name the previous owner of keys that move before their first grant

What callers would see: two upstreams hold and serve the same keys (OWNER).

Cause: a plan moved a range whose owner had not been sent a grant yet, so the table that it wrote named no previous owner. While that write was open, the first grant was sent. The coordinator corrected this for itself when its write was answered (the range kept everGranted), but not in the table. So the next coordinator, or the same one if the write took effect later than its answer was awaited, read a table without a previous owner, and granted the keys to the new one at once.

Now the table names the owner that a range moves away from always; everGranted and the correction are gone. A previous owner without a grant costs nothing in the same term: its grants count as expired, so the keys go on without a release.

Test: TableProposalTest, failed before (no previous owner in the table).

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyAssignment.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyAssignment.java
@@ -14,10 +14,6 @@
     return new KeyAssignment(part, owner, previousOwner);
   }
 
-  KeyAssignment withPreviousOwner(KeyOwner previous) {
-    return new KeyAssignment(range, owner, Optional.of(previous));
-  }
-
   KeyAssignment withoutPreviousOwner() {
     return new KeyAssignment(range, owner, Optional.empty());
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -432,7 +432,7 @@
   private long registerOrder(OwnedRange range, boolean grant) {
     long orderId = nextOrderId++;
     inFlightOrders.add(orderId, range, grant);
-    range.orderSent(orderId, grant);
+    range.orderSent(orderId);
     return orderId;
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
@@ -21,7 +21,6 @@
   private GrantTracker previousOwnerGrants;
   private boolean released;
   private boolean misdirected;
-  private boolean everGranted;
   private boolean fenced;
   private Optional<String> handover = Optional.empty();
   private long inFlightOrderId;
@@ -45,9 +44,7 @@
    */
   static OwnedRange inherited(KeyAssignment assignment, GrantTracker grants) {
     Phase phase = assignment.previousOwner().isPresent() ? Phase.RELEASING : Phase.HELD;
-    OwnedRange range = new OwnedRange(assignment, phase, grants.copy(), grants.copy());
-    range.everGranted = true;
-    return range;
+    return new OwnedRange(assignment, phase, grants.copy(), grants.copy());
   }
 
   /** Returns a range that no upstream has ever been granted. */
@@ -64,10 +61,7 @@
   static OwnedRange merged(KeyAssignment assignment, List<OwnedRange> parts) {
     GrantTracker ownerGrants =
         GrantTracker.merge(parts.stream().map(OwnedRange::ownerGrants).toList());
-    OwnedRange merged =
-        new OwnedRange(assignment, Phase.HELD, ownerGrants, GrantTracker.neverGranted());
-    merged.everGranted = true;
-    return merged;
+    return new OwnedRange(assignment, Phase.HELD, ownerGrants, GrantTracker.neverGranted());
   }
 
   /** Returns whether the range may be merged with an adjacent range of the same owner. */
@@ -85,7 +79,6 @@
             assignment.withRange(range), phase, ownerGrants.copy(), previousOwnerGrants.copy());
     part.released = released;
     part.misdirected = misdirected;
-    part.everGranted = everGranted;
     part.handover = handover;
     return part;
   }
@@ -93,19 +86,9 @@
   /** Returns a part of this range that starts to move to a new owner or fencing token. */
   OwnedRange movedTo(KeyAssignment next) {
     boolean sameOwner = next.owner().incarnation().equals(assignment.owner().incarnation());
-    if (sameOwner) {
-      OwnedRange regranted =
-          new OwnedRange(next, Phase.GRANTING, ownerGrants.copy(), previousOwnerGrants.copy());
-      regranted.everGranted = everGranted;
-      return regranted;
-    }
-    if (next.previousOwner().isEmpty() && !everGranted) {
-      return neverHeld(next);
-    }
-    // The first grant may have been sent after the table was proposed.
-    KeyAssignment moved =
-        next.previousOwner().isPresent() ? next : next.withPreviousOwner(assignment.owner());
-    return new OwnedRange(moved, Phase.RELEASING, GrantTracker.neverGranted(), ownerGrants.copy());
+    return sameOwner
+        ? new OwnedRange(next, Phase.GRANTING, ownerGrants.copy(), previousOwnerGrants.copy())
+        : new OwnedRange(next, Phase.RELEASING, GrantTracker.neverGranted(), ownerGrants.copy());
   }
 
   KeyAssignment assignment() {
@@ -142,10 +125,6 @@
     return misdirected;
   }
 
-  boolean everGranted() {
-    return everGranted;
-  }
-
   boolean fenced() {
     return fenced;
   }
@@ -200,14 +179,9 @@
     assignment = assignment.withoutPreviousOwner();
   }
 
-  /**
-   * Records that an order was sent for this range.
-   *
-   * @param grant whether the order is a grant, not a release
-   */
-  void orderSent(long orderId, boolean grant) {
+  /** Records that an order was sent for this range. */
+  void orderSent(long orderId) {
     inFlightOrderId = orderId;
-    everGranted |= grant;
   }
 
   /** Records that the order in flight has ended, and when the next one is due. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/TableProposal.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/TableProposal.java
@@ -167,8 +167,9 @@
   private static Part moved(OwnedRange range, KeyMove move, long fencingToken) {
     KeyOwner owner = range.assignment().owner();
     KeyOwner target = KeyOwner.of(move.target(), fencingToken);
-    boolean mayHold = range.everGranted() && !owner.incarnation().equals(target.incarnation());
-    Optional<KeyOwner> previous = mayHold ? Optional.of(owner) : Optional.empty();
+    // Its first grant may be sent while the table is being written.
+    Optional<KeyOwner> previous =
+        owner.incarnation().equals(target.incarnation()) ? Optional.empty() : Optional.of(owner);
     return new Moved(range, new KeyAssignment(move.range(), target, previous));
   }
 }
