--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -40,9 +40,6 @@
   /** Delay of the first assignment after the last change of eligible upstreams, in milliseconds. */
   static final long INITIAL_OWNERS_DELAY_MILLIS = 1_500;
 
-  /** Usual duration of a hand-over, in milliseconds. */
-  private static final long TYPICAL_HANDOVER_MILLIS = 150;
-
   /** Interval between two plans of moves, in milliseconds. */
   static final long PLAN_INTERVAL_MILLIS = 200;
 
@@ -59,6 +56,7 @@
   private final UnreachableDataCentres unreachable;
   private final OwnerEligibility eligibility;
   private final GrantHoldTimes holdTimes;
+  private final HandOverEstimate handOverEstimate;
   private final InFlightOrders inFlightOrders = new InFlightOrders();
   private final List<KeyEffect> pendingEffects = new ArrayList<>();
 
@@ -91,6 +89,7 @@
     this.holdMaxMillis = holdMaxMillis;
     this.unreachable = new UnreachableDataCentres(catalog);
     this.eligibility = new OwnerEligibility(catalog, detector, unreachable);
+    this.handOverEstimate = new HandOverEstimate(catalog, detector);
     this.holdTimes = new GrantHoldTimes(detector, unreachable, holdMaxMillis);
   }
 
@@ -157,34 +156,8 @@
   public long readyMillis(long nowMillis, int key) {
     return ranges
         .find(key)
-        .map(range -> readyMillis(nowMillis, range))
-        .orElse(nowMillis + TYPICAL_HANDOVER_MILLIS);
-  }
-
-  private long readyMillis(long nowMillis, OwnedRange range) {
-    if (range.hasConfirmedOwner(nowMillis)) {
-      return nowMillis;
-    }
-    long earliest = nowMillis + TYPICAL_HANDOVER_MILLIS;
-    if (range.phase() == Phase.HELD) {
-      boolean suspected = detector.suspected(nowMillis, range.assignment().owner().incarnation());
-      return suspected ? Math.max(earliest, range.ownerGrants().latestExpiryMillis()) : earliest;
-    }
-    return range.phase() == Phase.RELEASING
-        ? Math.max(earliest, releaseEndMillis(nowMillis, range))
-        : earliest;
-  }
-
-  /** Estimates when the previous owner of a range no longer holds it, if that takes long. */
-  private long releaseEndMillis(long nowMillis, OwnedRange range) {
-    KeyOwner previous = range.assignment().previousOwner().orElseThrow();
-    if (detector.suspected(nowMillis, previous.incarnation())) {
-      return range.previousOwnerGrants().latestExpiryMillis();
-    }
-    boolean superseded = catalog.superseded(previous.incarnation(), previous.address());
-    return superseded && !range.released()
-        ? nowMillis
-        : range.previousOwnerGrants().unansweredExpiryMillis();
+        .map(range -> handOverEstimate.readyMillis(nowMillis, range))
+        .orElse(nowMillis + HandOverEstimate.TYPICAL_HANDOVER_MILLIS);
   }
 
   /** Returns all assignments, sorted by range. */
