--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceFuzz.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceFuzz.java
@@ -277,14 +277,16 @@
                 .ifPresent(result -> schedule(delayMillis(), () -> end.accept(result))));
   }
 
-  /** Ends a call once; a paused coordinator notices only after the pause. */
+  /**
+   * Ends a call once; a paused coordinator notices only after the pause, unless its term is over.
+   */
   private void endWhenAwake(
       long sentTerm, boolean[] over, OrderResult result, Consumer<OrderResult> ended) {
     if (over[0]) {
       return;
     }
     if (sentTerm == term && nowMillis < pausedUntilMillis) {
-      schedule(pausedUntilMillis - nowMillis, () -> endWhenAwake(sentTerm, over, result, ended));
+      schedule(STEP_MILLIS, () -> endWhenAwake(sentTerm, over, result, ended));
       return;
     }
     over[0] = true;
@@ -323,6 +325,7 @@
         order.execute(upstream);
         yield Optional.empty();
       }
+      case 4 -> Optional.of(new OrderResult.Fenced());
       default -> Optional.empty();
     };
   }
