--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -8,9 +8,8 @@
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Collectors;
+import java.util.OptionalLong;
 
 /**
  * Manages which upstream owns which keys of one service during one term of the coordinator.
@@ -18,15 +17,14 @@
  * <p>A change of owner is written to the store first. Then the previous owner is asked to release
  * the keys. The new owner gets its grant when the release is answered or the previous owner's
  * grants have expired. A later incarnation at the previous owner's address is asked to release the
- * keys, too, because the last renewal may have reached it.
+ * keys, too, because the last renewal may have reached it. The previous owner has ended if a later
+ * incarnation was seen and another upstream answers at its address; one that answers the release
+ * under its id may still carry out grants that it has not answered.
  */
 public final class KeyedService {
   /** Hold time of a grant under normal conditions, in milliseconds. */
   static final long HOLD_MILLIS = 3_000;
 
-  /** Hold time of a grant that probes an unresponsive upstream, in milliseconds. */
-  private static final long PROBE_HOLD_MILLIS = 500;
-
   /** Interval between two renewals of the grant of a range, in milliseconds. */
   static final long RENEWAL_INTERVAL_MILLIS = 750;
 
@@ -57,12 +55,14 @@
   private final KeyDecisionLog decisionLog;
   private final UnreachableDataCentres unreachable;
   private final OwnerEligibility eligibility;
-  private final ReadinessEstimate readinessEstimate = new ReadinessEstimate(detector);
+  private final GrantHoldTimes holdTimes;
+  private final HandOverEstimate handOverEstimate;
   private final InFlightOrders inFlightOrders = new InFlightOrders();
   private final List<KeyEffect> pendingEffects = new ArrayList<>();
 
   private OwnedRanges ranges = OwnedRanges.empty();
-  private TableProposal proposal = TableProposal.empty();
+  private KeyTable pendingTable = KeyTable.empty();
+  private final ProposedTables proposedTables = new ProposedTables();
   private boolean loaded;
   private boolean storePending;
   private long version;
@@ -89,6 +89,8 @@
     this.holdMaxMillis = holdMaxMillis;
     this.unreachable = new UnreachableDataCentres(catalog);
     this.eligibility = new OwnerEligibility(catalog, detector, unreachable);
+    this.handOverEstimate = new HandOverEstimate(catalog, detector);
+    this.holdTimes = new GrantHoldTimes(detector, unreachable, holdMaxMillis);
   }
 
   /**
@@ -154,8 +156,8 @@
   public long readyMillis(long nowMillis, int key) {
     return ranges
         .find(key)
-        .map(range -> readinessEstimate.readyMillis(nowMillis, range))
-        .orElse(nowMillis + ReadinessEstimate.TYPICAL_HANDOVER_MILLIS);
+        .map(range -> handOverEstimate.readyMillis(nowMillis, range))
+        .orElse(nowMillis + HandOverEstimate.TYPICAL_HANDOVER_MILLIS);
   }
 
   /** Returns all assignments, sorted by range. */
@@ -213,12 +215,8 @@
   public List<KeyEffect> tableWritten(long nowMillis, TableWriteResult result) {
     storePending = false;
     if (result instanceof TableWriteResult.Written written) {
-      version = written.version();
-      nextFencingToken = proposal.table().nextFencingToken();
       tableCleanupDue = false;
-      ranges = OwnedRanges.of(proposal.resultingRanges());
-      inFlightOrders.reindexGrants(ranges.stream());
-      revision++;
+      adoptRanges(written.version(), pendingTable, GrantTracker.neverGranted());
     } else if (result instanceof TableWriteResult.Unconfirmed) {
       nextStoreCallMillis = nowMillis + STORE_RETRY_DELAY_MILLIS;
       storePending = true;
@@ -274,12 +272,6 @@
     if (loaded && found.version() == version) {
       return;
     }
-    KeyTable table = found.table().orElseGet(KeyTable::empty);
-    version = found.version();
-    nextFencingToken = table.nextFencingToken();
-    Map<KeyAssignment, OwnedRange> known =
-        ranges.stream()
-            .collect(Collectors.toMap(OwnedRange::assignment, range -> range, (a, b) -> a));
     // If another coordinator's delayed write landed, its owners may have been renewed since then.
     GrantTracker grants =
         loaded
@@ -287,23 +279,42 @@
                 GrantTracker.latestExpiryOfGrant(nowMillis, holdMaxMillis),
                 GrantTracker.latestArrivalMillis(nowMillis))
             : inheritedGrants;
-    if (loaded && proposal.table().equals(table)) {
-      ranges = OwnedRanges.of(proposal.resultingRanges());
-    } else {
-      ranges =
-          OwnedRanges.of(
-              table.assignments().stream()
-                  .map(
-                      assignment ->
-                          known.getOrDefault(assignment, OwnedRange.inherited(assignment, grants)))
-                  .toList());
-    }
-    inFlightOrders.reindexGrants(ranges.stream());
+    adoptRanges(found.version(), found.table().orElseGet(KeyTable::empty), grants);
     loaded = true;
-    revision++;
     log("keys-loaded", "version " + version, ranges.all().size() + " ranges");
   }
 
+  /**
+   * Adopts a table as the stored one.
+   *
+   * @param grants grants that may have been sent to the owners of a table not proposed in this term
+   */
+  private void adoptRanges(long newVersion, KeyTable table, GrantTracker grants) {
+    version = newVersion;
+    nextFencingToken = table.nextFencingToken();
+    ranges =
+        OwnedRanges.of(
+            proposedTables
+                .adopt(table)
+                .orElseGet(
+                    () ->
+                        table.assignments().stream()
+                            .map(assignment -> knownOrInherited(assignment, grants))
+                            .toList()));
+    inFlightOrders.reindexGrants(ranges.stream());
+    revision++;
+  }
+
+  /** Returns a range in its known state if it has the same owner as before. */
+  private OwnedRange knownOrInherited(KeyAssignment assignment, GrantTracker grants) {
+    return ranges
+        .find(assignment.range().first())
+        .filter(known -> known.assignment().owner().equals(assignment.owner()))
+        .filter(known -> known.range().contains(assignment.range().last()))
+        .map(known -> known.part(assignment.range()))
+        .orElseGet(() -> OwnedRange.inherited(assignment, grants));
+  }
+
   private void sendDueOrders(long nowMillis, OwnedRange range, boolean storeMaybeUnavailable) {
     if (range.phase() == Phase.RELEASING) {
       release(nowMillis, range);
@@ -317,11 +328,12 @@
 
   private void release(long nowMillis, OwnedRange range) {
     KeyOwner previous = range.assignment().previousOwner().orElseThrow();
-    boolean superseded = catalog.superseded(previous.incarnation(), previous.address());
+    boolean ended =
+        range.misdirected() && catalog.superseded(previous.incarnation(), previous.address());
     if (range.previousOwnerGrants().expired(nowMillis)
         || (range.released()
-            && (superseded || nowMillis > range.previousOwnerGrants().unansweredExpiryMillis()))) {
-      pendingEffects.add(decisionLog.keysFreed(nowMillis, range, superseded));
+            && (ended || nowMillis > range.previousOwnerGrants().unansweredExpiryMillis()))) {
+      pendingEffects.add(decisionLog.keysFreed(nowMillis, range, ended));
       range.startGranting();
       return;
     }
@@ -349,7 +361,7 @@
       release(nowMillis, range);
     } else if (result instanceof OrderResult.Misdirected) {
       pendingEffects.add(decisionLog.orderFailed(nowMillis, "release", range, previous, result));
-      range.markReleased(Optional.empty());
+      range.markMisdirected();
       release(nowMillis, range);
     } else {
       pendingEffects.add(decisionLog.orderFailed(nowMillis, "release", range, previous, result));
@@ -361,15 +373,11 @@
     if (range.fenced() || catalog.superseded(owner.incarnation(), owner.address())) {
       return;
     }
-    long holdMillis = storeMaybeUnavailable ? holdMaxMillis : Math.min(HOLD_MILLIS, holdMaxMillis);
-    if (detector.failedSinceLastAnswer(owner.incarnation()) && !unreachable.contains(owner)) {
-      // A longer hold time would delay the reassignment of keys if the upstream is lost.
-      holdMillis = PROBE_HOLD_MILLIS;
-      if (GrantTracker.latestExpiryOfGrant(nowMillis, holdMillis)
-          > range.ownerGrants().latestExpiryMillis()) {
-        return;
-      }
+    OptionalLong hold = holdTimes.holdMillis(nowMillis, range, storeMaybeUnavailable);
+    if (hold.isEmpty()) {
+      return;
     }
+    long holdMillis = hold.getAsLong();
     detector.orderSent(nowMillis, owner.incarnation());
     long orderId = registerOrder(range, true);
     range.ownerGrants().sent(nowMillis, orderId, holdMillis);
@@ -414,7 +422,7 @@
   private long registerOrder(OwnedRange range, boolean grant) {
     long orderId = nextOrderId++;
     inFlightOrders.add(orderId, range, grant);
-    range.orderSent(orderId, grant);
+    range.orderSent(orderId);
     return orderId;
   }
 
@@ -427,19 +435,8 @@
       proposeInitialOwners(nowMillis, eligible);
       return;
     }
-    List<KeyPlanner.MovableRange> movable =
-        ranges.stream()
-            .filter(range -> range.phase() != Phase.RELEASING)
-            .filter(
-                range -> range.phase() == Phase.HELD || eligibility.needsNewOwner(nowMillis, range))
-            .map(
-                range ->
-                    new KeyPlanner.MovableRange(
-                        range.range(),
-                        range.assignment().owner().incarnation().id(),
-                        eligibility.needsNewOwner(nowMillis, range)))
-            .toList();
-    List<KeyMove> moves = KeyPlanner.plan(movable, eligible, demand, capacity);
+    List<KeyMove> moves =
+        MovePlan.moves(nowMillis, ranges, eligibility, eligible, demand, capacity);
     if (!moves.isEmpty() || tableCleanupDue) {
       proposeMoves(moves);
     }
@@ -453,22 +450,23 @@
     if (nowMillis - eligibleCountChangedMillis < INITIAL_OWNERS_DELAY_MILLIS) {
       return;
     }
-    proposal =
+    TableProposal proposal =
         TableProposal.initial(KeyPlanner.initialOwners(eligible, capacity), nextFencingToken);
-    writeTable("keys-first", proposal.size() + " ranges");
+    writeTable(proposal, "keys-first", proposal.size() + " ranges");
   }
 
   private void proposeMoves(List<KeyMove> moves) {
     ranges.stream().filter(r -> r.phase() == Phase.HELD).forEach(OwnedRange::clearPreviousOwner);
-    proposal = TableProposal.withMoves(ranges.all(), moves, nextFencingToken);
+    TableProposal proposal = TableProposal.withMoves(ranges.all(), moves, nextFencingToken);
     moves.forEach(
         move -> log("keys-move", move.range() + " to " + move.target().id(), move.reason()));
-    writeTable("keys-write", moves.size() + " moves");
+    writeTable(proposal, "keys-write", moves.size() + " moves");
   }
 
-  private void writeTable(String decision, String what) {
+  private void writeTable(TableProposal proposal, String decision, String what) {
     storePending = true;
-    pendingEffects.add(new KeyEffect.WriteTable(service, proposal.table(), version));
+    pendingTable = proposedTables.add(proposal);
+    pendingEffects.add(new KeyEffect.WriteTable(service, pendingTable, version));
     log(decision, "version " + version, what);
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
@@ -20,7 +20,7 @@
   private GrantTracker ownerGrants;
   private GrantTracker previousOwnerGrants;
   private boolean released;
-  private boolean everGranted;
+  private boolean misdirected;
   private boolean fenced;
   private Optional<String> handover = Optional.empty();
   private long inFlightOrderId;
@@ -44,9 +44,7 @@
    */
   static OwnedRange inherited(KeyAssignment assignment, GrantTracker grants) {
     Phase phase = assignment.previousOwner().isPresent() ? Phase.RELEASING : Phase.HELD;
-    OwnedRange range = new OwnedRange(assignment, phase, grants.copy(), grants.copy());
-    range.everGranted = true;
-    return range;
+    return new OwnedRange(assignment, phase, grants.copy(), grants.copy());
   }
 
   /** Returns a range that no upstream has ever been granted. */
@@ -63,10 +61,7 @@
   static OwnedRange merged(KeyAssignment assignment, List<OwnedRange> parts) {
     GrantTracker ownerGrants =
         GrantTracker.merge(parts.stream().map(OwnedRange::ownerGrants).toList());
-    OwnedRange merged =
-        new OwnedRange(assignment, Phase.HELD, ownerGrants, GrantTracker.neverGranted());
-    merged.everGranted = true;
-    return merged;
+    return new OwnedRange(assignment, Phase.HELD, ownerGrants, GrantTracker.neverGranted());
   }
 
   /** Returns whether the range may be merged with an adjacent range of the same owner. */
@@ -83,7 +78,7 @@
         new OwnedRange(
             assignment.withRange(range), phase, ownerGrants.copy(), previousOwnerGrants.copy());
     part.released = released;
-    part.everGranted = everGranted;
+    part.misdirected = misdirected;
     part.handover = handover;
     return part;
   }
@@ -91,19 +86,9 @@
   /** Returns a part of this range that starts to move to a new owner or fencing token. */
   OwnedRange movedTo(KeyAssignment next) {
     boolean sameOwner = next.owner().incarnation().equals(assignment.owner().incarnation());
-    if (sameOwner) {
-      OwnedRange regranted =
-          new OwnedRange(next, Phase.GRANTING, ownerGrants.copy(), previousOwnerGrants.copy());
-      regranted.everGranted = everGranted;
-      return regranted;
-    }
-    if (next.previousOwner().isEmpty() && !everGranted) {
-      return neverHeld(next);
-    }
-    // The first grant may have been sent after the table was proposed.
-    KeyAssignment moved =
-        next.previousOwner().isPresent() ? next : next.withPreviousOwner(assignment.owner());
-    return new OwnedRange(moved, Phase.RELEASING, GrantTracker.neverGranted(), ownerGrants.copy());
+    return sameOwner
+        ? new OwnedRange(next, Phase.GRANTING, ownerGrants.copy(), previousOwnerGrants.copy())
+        : new OwnedRange(next, Phase.RELEASING, GrantTracker.neverGranted(), ownerGrants.copy());
   }
 
   KeyAssignment assignment() {
@@ -141,8 +126,9 @@
     return released;
   }
 
-  boolean everGranted() {
-    return everGranted;
+  /** Returns whether a different upstream has answered the release. */
+  boolean misdirected() {
+    return misdirected;
   }
 
   boolean fenced() {
@@ -169,6 +155,12 @@
     handover = handoverState;
   }
 
+  /** Records that a different upstream has answered the release at the previous owner's address. */
+  void markMisdirected() {
+    released = true;
+    misdirected = true;
+  }
+
   /** Starts granting the range to its owner, as the previous owner no longer holds it. */
   void startGranting() {
     phase = Phase.GRANTING;
@@ -193,14 +185,9 @@
     assignment = assignment.withoutPreviousOwner();
   }
 
-  /**
-   * Records that an order was sent for this range.
-   *
-   * @param grant whether the order is a grant, not a release
-   */
-  void orderSent(long orderId, boolean grant) {
+  /** Records that an order was sent for this range. */
+  void orderSent(long orderId) {
     inFlightOrderId = orderId;
-    everGranted |= grant;
   }
 
   /** Records that the order in flight has ended, and when the next one is due. */
