Let the simulations of core share one virtual time

The routing simulation and the cluster of the ownership tests each had a queue of delayed actions of their own, with the same order, delay and repetition as core.virtual.VirtualTime, which three other simulations use. Both now use that class; the routing copy and the nested record are gone.

Compiled main code is the same; in the test code only the methods around the two queues differ. The tests of core.routing and core.ownership pass (66).

--- a/core/src/test/java/dev/hornbeamwheel/core/ownership/FakeCluster.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/ownership/FakeCluster.java
@@ -10,12 +10,12 @@
 import dev.hornbeamwheel.core.model.MemberId;
 import dev.hornbeamwheel.core.model.Slice;
 import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.virtual.VirtualTime;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -27,18 +27,10 @@
 final class FakeCluster {
   static final String PLATFORM = "platform";
 
-  private record ScheduledAction(long at, long sequence, Runnable action)
-      implements Comparable<ScheduledAction> {
-    @Override
-    public int compareTo(ScheduledAction other) {
-      return at != other.at ? Long.compare(at, other.at) : Long.compare(sequence, other.sequence);
-    }
-  }
-
   private final Random random;
   private final SkippedStep skipped;
   private final OwnershipOptions options = OwnershipOptions.standard();
-  private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
+  private final VirtualTime time = new VirtualTime();
   private final Map<String, FakeMember> members = new TreeMap<>();
   private final Map<UpstreamId, FakeUpstream> upstreams = new TreeMap<>();
   private final Map<String, DataCentreId> dataCentres = new HashMap<>();
@@ -50,8 +42,6 @@
   private final InvariantChecker invariants = new InvariantChecker(this);
   private final Map<Long, Configuration> configurationVersions = new TreeMap<>();
   private Configuration configuration = Configuration.initial();
-  private long now;
-  private long actionSequence;
   private long incarnations;
   private boolean tableDown;
   private boolean tableSlow;
@@ -65,7 +55,7 @@
   }
 
   long now() {
-    return now;
+    return time.nowMillis();
   }
 
   InvariantChecker invariants() {
@@ -136,18 +126,9 @@
 
   /** Starts the membership updates, the configuration relay and the periodic invariant checks. */
   void startBackgroundTasks() {
-    every(200, this::relayConfiguration);
-    every(200, this::refreshMembership);
-    every(10, invariants::observe);
-  }
-
-  private void every(long millis, Runnable action) {
-    schedule(
-        millis,
-        () -> {
-          action.run();
-          every(millis, action);
-        });
+    time.every(200, this::relayConfiguration);
+    time.every(200, this::refreshMembership);
+    time.every(10, invariants::observe);
   }
 
   private void relayConfiguration() {
@@ -204,7 +185,7 @@
   }
 
   private long localTime(FakeMember member) {
-    return member.clock.read(now);
+    return member.clock.read(now());
   }
 
   private boolean linked(String from, String to) {
@@ -212,18 +193,12 @@
   }
 
   void schedule(long delay, Runnable action) {
-    queue.add(new ScheduledAction(now + delay, actionSequence++, action));
+    time.after(delay, action);
   }
 
   /** Advances virtual time and runs the actions that are due. */
   void run(long millis) {
-    long end = now + millis;
-    while (!queue.isEmpty() && queue.peek().at <= end) {
-      ScheduledAction next = queue.poll();
-      now = next.at;
-      next.action.run();
-    }
-    now = end;
+    time.advance(millis);
   }
 
   private void scheduleEvent(FakeMember member, long delay, LongFunction<OwnershipEvent> event) {
@@ -281,7 +256,7 @@
   /** Prints a trace line if the system property {@code trace} is {@code true}. */
   void trace(String text) {
     if (Boolean.getBoolean("trace")) {
-      System.out.println(now + " ms: " + text);
+      System.out.println(now() + " ms: " + text);
     }
   }
 
@@ -318,7 +293,7 @@
   }
 
   private void handleOrder(FakeMember member, OwnershipEffect.SendOrder sent) {
-    UpstreamReply reply = upstreams.get(sent.upstream()).handle(sent.order(), now);
+    UpstreamReply reply = upstreams.get(sent.upstream()).handle(sent.order(), now());
     if (sent.order() instanceof UpstreamOrder.Replace replace
         && reply.outcome() == UpstreamReply.Outcome.DONE) {
       invariants.onGranted(sent.upstream(), replace);
@@ -415,7 +390,7 @@
     if (!paused) {
       List<java.util.function.Consumer<Long>> waiting = List.copyOf(member.pausedDeliveries);
       member.pausedDeliveries.clear();
-      waiting.forEach(each -> each.accept(now));
+      waiting.forEach(each -> each.accept(now()));
     }
   }
 
--- a/core/src/test/java/dev/hornbeamwheel/core/routing/FakeNetwork.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/FakeNetwork.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.core.routing;
 
 import dev.hornbeamwheel.core.model.MemberId;
+import dev.hornbeamwheel.core.virtual.VirtualTime;
 import java.util.HashSet;
 import java.util.Random;
 import java.util.Set;
--- a/core/src/test/java/dev/hornbeamwheel/core/routing/FakeUpstream.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/FakeUpstream.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.core.routing;
 
 import dev.hornbeamwheel.core.config.Upstream;
+import dev.hornbeamwheel.core.virtual.VirtualTime;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
@@ -65,10 +66,10 @@
             request.idempotencyKey(),
             request.fingerprint(),
             declared.id(),
-            time.now()));
+            time.nowMillis()));
     Object token = new Object();
     running.put(token, reply);
-    long frozenMillis = Math.max(0, frozenUntilMillis - time.now());
+    long frozenMillis = Math.max(0, frozenUntilMillis - time.nowMillis());
     if (crashingFingerprints.contains(request.fingerprint())) {
       time.after(frozenMillis + 3, () -> crash(token));
     } else {
@@ -98,7 +99,7 @@
     history
         .starts
         .computeIfAbsent(declared.id(), u -> new ArrayList<>())
-        .add(new ExecutionHistory.Start(time.now()));
+        .add(new ExecutionHistory.Start(time.nowMillis()));
   }
 
   private void complete(RoutingEffect.CallUpstream call, Object token) {
@@ -108,7 +109,7 @@
     }
     var starts = history.starts.get(declared.id());
     ExecutionHistory.Start latest = starts.get(starts.size() - 1);
-    latest.firstCompletionMillis = Math.min(latest.firstCompletionMillis, time.now());
+    latest.firstCompletionMillis = Math.min(latest.firstCompletionMillis, time.nowMillis());
     ResponseFault fault = nextFault;
     nextFault = ResponseFault.NONE;
     long half = Math.max(call.resumeOffset(), ExecutionHistory.RESPONSE_BYTES / 2);
--- a/core/src/test/java/dev/hornbeamwheel/core/routing/FaultySimulation.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/FaultySimulation.java
@@ -126,12 +126,12 @@
   }
 
   void freezeUpstream(long millis) {
-    anyUpstream().frozenUntilMillis = time.now() + millis;
+    anyUpstream().frozenUntilMillis = time.nowMillis() + millis;
   }
 
   void freezeRouter(long millis) {
     RouterProcess router = routers.get(random.nextInt(ROUTERS));
-    router.frozenUntil = Math.max(router.frozenUntil, time.now() + millis);
+    router.frozenUntil = Math.max(router.frozenUntil, time.nowMillis() + millis);
   }
 
   /** Kills a router and starts a replacement; the others learn of each step with a delay. */
@@ -168,7 +168,7 @@
   void drainUpstream() {
     UpstreamId upstream = anyUpstreamId();
     if (declarations.drained.size() < 3 && !declarations.drained.contains(upstream)) {
-      history.drainedAt.put(upstream, time.now());
+      history.drainedAt.put(upstream, time.nowMillis());
       declarations.drain(upstream);
       configure();
       routers.forEach(this::publishRow);
--- a/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingSimulation.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/routing/RoutingSimulation.java
@@ -14,6 +14,7 @@
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import dev.hornbeamwheel.core.recovery.Evidence;
+import dev.hornbeamwheel.core.virtual.VirtualTime;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -72,13 +73,13 @@
     }
 
     long clock() {
-      return time.now() + clockOffset;
+      return time.nowMillis() + clockOffset;
     }
 
     void feed(Function<Long, RoutingEvent> event) {
       Incarnation targetIncarnation = incarnation;
-      if (alive && time.now() < frozenUntil) {
-        time.after(frozenUntil - time.now(), () -> feedTo(targetIncarnation, event));
+      if (alive && time.nowMillis() < frozenUntil) {
+        time.after(frozenUntil - time.nowMillis(), () -> feedTo(targetIncarnation, event));
       } else {
         feedTo(targetIncarnation, event);
       }
@@ -180,7 +181,8 @@
   }
 
   void endRequest(RouterProcess router, RoutingEffect.EndRequest ended) {
-    history.recordResult(ended, router.delivered.getOrDefault(ended.requestId(), 0L), time.now());
+    history.recordResult(
+        ended, router.delivered.getOrDefault(ended.requestId(), 0L), time.nowMillis());
     router.requests.remove(ended.requestId());
     boolean early = router.open.remove(ended.requestId().value()) != null;
     if (early && ended.problem() == ProblemKind.STOPPING) {
@@ -247,8 +249,8 @@
         GOSSIP_MILLIS,
         () -> {
           boolean reported = router.alive && incarnationAtCrash.equals(router.incarnation);
-          if (reported && time.now() >= router.frozenUntil && !network.isCut(router.id)) {
-            history.recordKnownCrash(request.fingerprint(), call.upstream(), time.now());
+          if (reported && time.nowMillis() >= router.frozenUntil && !network.isCut(router.id)) {
+            history.recordKnownCrash(request.fingerprint(), call.upstream(), time.nowMillis());
           }
         });
   }
@@ -270,7 +272,7 @@
     voters.stream()
         .filter(v -> v.voter.member().equals(to))
         .findFirst()
-        .ifPresent(v -> v.feed(new ClaimEvent.Received(time.now(), from, inc, message)));
+        .ifPresent(v -> v.feed(new ClaimEvent.Received(time.nowMillis(), from, inc, message)));
   }
 
   void deliver(MemberId from, MemberId to, Runnable arrival) {
@@ -295,7 +297,9 @@
               time.after(
                   1 + random.nextInt(50),
                   () ->
-                      v.feed(new ClaimEvent.RowLearned(time.now(), cell, learned, predecessors))));
+                      v.feed(
+                          new ClaimEvent.RowLearned(
+                              time.nowMillis(), cell, learned, predecessors))));
     }
     routers.forEach(r -> time.after(random.nextInt(100), () -> publishRow(r)));
   }
@@ -330,11 +334,11 @@
 
   void tick() {
     routers.stream()
-        .filter(r -> time.now() >= r.frozenUntil)
+        .filter(r -> time.nowMillis() >= r.frozenUntil)
         .forEach(r -> r.feed(RoutingEvent.Tick::new));
-    voters.forEach(v -> v.feed(new ClaimEvent.Tick(time.now())));
+    voters.forEach(v -> v.feed(new ClaimEvent.Tick(time.nowMillis())));
     time.after(TICK_MILLIS, this::tick);
-    if (time.now() % GOSSIP_MILLIS == 0) {
+    if (time.nowMillis() % GOSSIP_MILLIS == 0) {
       routers.stream().filter(r -> r.alive).forEach(this::gossip);
     }
   }
