Split the loads of the upstreams off SlotBroker

SlotBroker kept the queues, decided on grants and refusals, and also held the load of each upstream with the arithmetic of cost and throughput. The latter is now UpstreamLoads: which upstream can start a request, which is the cheapest, and how many requests they serve per second.

Left alone: UpstreamLoad (one upstream) and ServiceRate (the running sum) already had one job each.

The tests of core.host.slots pass (19).

The entry host loads one class more, core.host.slots.UpstreamLoads.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -1,7 +1,6 @@
 package dev.hornbeamwheel.core.host.slots;
 
 import dev.hornbeamwheel.core.host.catalog.Catalog;
-import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
@@ -23,12 +22,6 @@
  * immediately, with a retry delay after which a slot is expected to be free.
  */
 public final class SlotBroker {
-  /** Cost of serving a request from another data centre, in milliseconds of run time. */
-  private static final double REMOTE_PENALTY_MILLIS = 8;
-
-  /** Cost of serving a large response from another data centre, in milliseconds of run time. */
-  private static final double REMOTE_LARGE_PENALTY_MILLIS = 120;
-
   /** Minimum retry delay of a refused request, in milliseconds. */
   private static final long MIN_RETRY_AFTER_MILLIS = 40;
 
@@ -52,10 +45,9 @@
 
   private final Catalog catalog;
   private final KeyLookup keyLookup;
-  private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
+  private final UpstreamLoads loads;
   private final Map<SlotRequestId, UpstreamId> upstreamsInUse = new HashMap<>();
   private final Map<ServiceId, ServiceQueue> queues = new HashMap<>();
-  private final Map<ServiceId, ServiceRate> rates = new HashMap<>();
   private final PriorityQueue<BackoffEnd> backoffEnds =
       new PriorityQueue<>(Comparator.comparingLong(BackoffEnd::atMillis));
   private final List<SlotEffect> effects = new ArrayList<>();
@@ -63,6 +55,7 @@
   private SlotBroker(Catalog catalog, KeyLookup keyLookup) {
     this.catalog = catalog;
     this.keyLookup = keyLookup;
+    this.loads = new UpstreamLoads(catalog, service -> queue(service).meanRunMillis());
   }
 
   /** Returns a broker without slot requests. */
@@ -115,13 +108,14 @@
       long runMillis,
       int relativeWorkPercent) {
     Optional<UpstreamRegistration> entry = catalog.upstream(upstream);
-    UpstreamLoad load = loads.get(upstream);
-    if (load == null) {
+    Optional<UpstreamLoad> known = loads.find(upstream);
+    if (known.isEmpty()) {
       return drainEffects();
     }
+    UpstreamLoad load = known.get();
     load.recordEnd(nowMillis, requestId, completion, runMillis, relativeWorkPercent);
     upstreamsInUse.remove(requestId, upstream);
-    entry.ifPresent(present -> updateRate(nowMillis, present));
+    entry.ifPresent(present -> loads.updateRate(nowMillis, present));
     if (load.backoffUntilMillis() > nowMillis) {
       backoffEnds.add(new BackoffEnd(load.backoffUntilMillis(), upstream));
     }
@@ -152,13 +146,13 @@
   }
 
   private void occupySlot(long nowMillis, SlotRequestId requestId, UpstreamRegistration entry) {
-    load(entry).recordStart(nowMillis, requestId, entry.cold(nowMillis));
+    loads.recordStart(nowMillis, requestId, entry);
     upstreamsInUse.put(requestId, entry.id());
   }
 
   /** Removes all slot requests of a host whose connection ended, and releases their slots. */
   public List<SlotEffect> hostDisconnected(long nowMillis, LinkId link) {
-    loads.values().forEach(load -> load.removeAll(link));
+    loads.removeAll(link);
     upstreamsInUse.keySet().removeIf(requestId -> requestId.link().equals(link));
     queues.values().forEach(queue -> queue.removeAll(link));
     return grantAllSlots(nowMillis);
@@ -169,11 +163,10 @@
    * served before their deadline.
    */
   public List<SlotEffect> tick(long nowMillis) {
-    if (loads.keySet().removeIf(id -> catalog.upstream(id).isEmpty())) {
-      upstreamsInUse.values().removeIf(id -> !loads.containsKey(id));
+    if (loads.removeUnregistered()) {
+      upstreamsInUse.values().removeIf(id -> loads.find(id).isEmpty());
     }
-    // Recomputes the rates, since upstreams warm up and updated sums accumulate rounding errors.
-    rates.clear();
+    loads.resetRates();
     queues.values().forEach(queue -> queue.removeUpstreams(id -> catalog.upstream(id).isEmpty()));
     List.copyOf(queues.keySet())
         .forEach(
@@ -187,11 +180,7 @@
 
   /** Returns the throughput of an upstream, in requests per second. */
   public double requestsPerSecond(long nowMillis, UpstreamRegistration entry) {
-    UpstreamLoad load = load(entry);
-    double successRate = Math.max(0.1, 1 - load.failureRate());
-    double warmPerSecond = entry.slots() * 1_000 / Math.max(1, load.meanRunMillis()) * successRate;
-    double coldLimit = entry.cold(nowMillis) ? coldPerSecond(entry.service()) : 0;
-    return coldLimit > 0 ? Math.min(warmPerSecond, coldLimit) : warmPerSecond;
+    return loads.requestsPerSecond(nowMillis, entry);
   }
 
   /** Returns the number of slot requests of a service that wait. */
@@ -219,7 +208,7 @@
   private void grantSlots(long nowMillis, ServiceId service, Optional<UpstreamId> keyOwner) {
     ServiceQueue queue = queue(service);
     if (!queue.hasWaiting(keyOwner)
-        || keyOwner.filter(id -> !canStart(nowMillis, id)).isPresent()) {
+        || keyOwner.filter(id -> !loads.canStart(nowMillis, id)).isPresent()) {
       return;
     }
     grantSlots(nowMillis, queue.inServiceOrder(nowMillis, keyOwner));
@@ -231,7 +220,7 @@
       if (request.key().isPresent()) {
         availableHolder(nowMillis, request).ifPresent(entry -> grant(nowMillis, request, entry));
       } else if (!full) {
-        Optional<UpstreamRegistration> selected = cheapestUpstream(nowMillis, request);
+        Optional<UpstreamRegistration> selected = loads.cheapest(nowMillis, request);
         selected.ifPresent(entry -> grant(nowMillis, request, entry));
         full = selected.isEmpty() && request.excludedUpstreams().isEmpty();
       }
@@ -248,49 +237,16 @@
   }
 
   private void grantAfterBackoff(long nowMillis, UpstreamRegistration entry) {
-    updateRate(nowMillis, entry);
+    loads.updateRate(nowMillis, entry);
     grantSlots(nowMillis, entry);
   }
 
-  private Optional<UpstreamRegistration> cheapestUpstream(long nowMillis, SlotRequest request) {
-    UpstreamRegistration cheapest = null;
-    double lowestCost = Double.POSITIVE_INFINITY;
-    for (UpstreamRegistration entry : catalog.usable(request.service())) {
-      if (!request.excludedUpstreams().contains(entry.id()) && canStart(nowMillis, entry)) {
-        double cost = cost(nowMillis, request, entry);
-        if (cost < lowestCost) {
-          cheapest = entry;
-          lowestCost = cost;
-        }
-      }
-    }
-    return Optional.ofNullable(cheapest);
-  }
-
   private Optional<UpstreamRegistration> availableHolder(long nowMillis, SlotRequest request) {
     return keyLookup
         .holder(nowMillis, request.service(), request.key().orElseThrow())
         .filter(holder -> !request.excludedUpstreams().contains(holder))
         .flatMap(catalog::upstream)
-        .filter(entry -> catalog.usable(entry) && canStart(nowMillis, entry));
-  }
-
-  private boolean canStart(long nowMillis, UpstreamId upstream) {
-    return catalog.upstream(upstream).filter(entry -> canStart(nowMillis, entry)).isPresent();
-  }
-
-  private boolean canStart(long nowMillis, UpstreamRegistration entry) {
-    boolean cold = entry.cold(nowMillis);
-    double coldPerSecond = cold ? coldPerSecond(entry.service()) : 0;
-    return load(entry).canStart(nowMillis, entry.slots(), cold, coldPerSecond);
-  }
-
-  private double cost(long nowMillis, SlotRequest request, UpstreamRegistration entry) {
-    double remotePenalty =
-        request.largeResponse() ? REMOTE_LARGE_PENALTY_MILLIS : REMOTE_PENALTY_MILLIS;
-    double distanceCost = entry.dataCentre().equals(request.dataCentre()) ? 0 : remotePenalty;
-    UpstreamLoad load = load(entry);
-    return load.expectedRunMillis(nowMillis) * (1 + 4 * load.failureRate()) + distanceCost;
+        .filter(entry -> catalog.usable(entry) && loads.canStart(nowMillis, entry));
   }
 
   private void grant(long nowMillis, SlotRequest request, UpstreamRegistration entry) {
@@ -380,7 +336,7 @@
   /** Returns whether the request rate of a service is close to the throughput of its upstreams. */
   private boolean isSaturated(long nowMillis, ServiceId service) {
     return queue(service).arrivalsPerSecond(nowMillis)
-        > SATURATION_UTILIZATION * throughput(nowMillis, service);
+        > SATURATION_UTILIZATION * loads.requestsPerSecond(nowMillis, service);
   }
 
   private static long startAfterMillis(long nowMillis, int ahead, double perSecond) {
@@ -393,7 +349,7 @@
     long holderReadyMillis =
         keyLookup.readyMillis(nowMillis, request.service(), request.key().orElseThrow());
     return keyOwner(request)
-        .map(loads::get)
+        .flatMap(loads::find)
         .map(load -> Math.max(holderReadyMillis, load.backoffUntilMillis()))
         .orElse(holderReadyMillis);
   }
@@ -416,45 +372,10 @@
     if (request.key().isPresent()) {
       return keyOwner(request)
           .flatMap(catalog::upstream)
-          .map(entry -> requestsPerSecond(nowMillis, entry))
+          .map(entry -> loads.requestsPerSecond(nowMillis, entry))
           .orElseGet(() -> 2_000 / queue(request.service()).meanRunMillis());
     }
-    return throughput(nowMillis, request.service());
-  }
-
-  private double throughput(long nowMillis, ServiceId service) {
-    List<UpstreamRegistration> usable = catalog.usable(service);
-    ServiceRate rate = rates.get(service);
-    if (rate == null || !rate.covers(usable)) {
-      rate = ServiceRate.of(usable, entry -> currentRate(nowMillis, entry));
-      rates.put(service, rate);
-    }
-    return rate.perSecond();
-  }
-
-  private void updateRate(long nowMillis, UpstreamRegistration entry) {
-    ServiceRate rate = rates.get(entry.service());
-    if (rate != null) {
-      rate.update(entry.id(), currentRate(nowMillis, entry));
-    }
-  }
-
-  private double currentRate(long nowMillis, UpstreamRegistration entry) {
-    boolean inBackoff = nowMillis < load(entry).backoffUntilMillis();
-    return inBackoff ? 0 : requestsPerSecond(nowMillis, entry);
-  }
-
-  private double coldPerSecond(ServiceId service) {
-    return catalog
-        .configuration()
-        .flatMap(configuration -> configuration.service(service))
-        .map(ServiceSpec::coldRequestsPerSecond)
-        .orElse(0.0);
-  }
-
-  private UpstreamLoad load(UpstreamRegistration entry) {
-    return loads.computeIfAbsent(
-        entry.id(), id -> new UpstreamLoad(queue(entry.service()).meanRunMillis()));
+    return loads.requestsPerSecond(nowMillis, request.service());
   }
 
   private ServiceQueue queue(ServiceId service) {
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoads.java
@@ -0,0 +1,147 @@
+package dev.hornbeamwheel.core.host.slots;
+
+import dev.hornbeamwheel.core.host.catalog.Catalog;
+import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * The loads of all upstreams: which of them can start a request, which is the best for it, and how
+ * many requests they serve per second.
+ */
+final class UpstreamLoads {
+  /** Cost of serving a request from another data centre, in milliseconds of run time. */
+  private static final double REMOTE_PENALTY_MILLIS = 8;
+
+  /** Cost of serving a large response from another data centre, in milliseconds of run time. */
+  private static final double REMOTE_LARGE_PENALTY_MILLIS = 120;
+
+  private final Catalog catalog;
+  private final ToDoubleFunction<ServiceId> initialRunMillis;
+  private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
+  private final Map<ServiceId, ServiceRate> rates = new HashMap<>();
+
+  /**
+   * Creates the loads of idle upstreams.
+   *
+   * @param initialRunMillis mean run time of a service, assumed of an upstream that has served no
+   *     request yet
+   */
+  UpstreamLoads(Catalog catalog, ToDoubleFunction<ServiceId> initialRunMillis) {
+    this.catalog = catalog;
+    this.initialRunMillis = initialRunMillis;
+  }
+
+  /** Returns the load of an upstream, or empty if it was never considered for a request. */
+  Optional<UpstreamLoad> find(UpstreamId upstream) {
+    return Optional.ofNullable(loads.get(upstream));
+  }
+
+  private UpstreamLoad load(UpstreamRegistration entry) {
+    return loads.computeIfAbsent(
+        entry.id(), id -> new UpstreamLoad(initialRunMillis.applyAsDouble(entry.service())));
+  }
+
+  void recordStart(long nowMillis, SlotRequestId requestId, UpstreamRegistration entry) {
+    load(entry).recordStart(nowMillis, requestId, entry.cold(nowMillis));
+  }
+
+  /** Removes the running requests of a host. */
+  void removeAll(LinkId link) {
+    loads.values().forEach(load -> load.removeAll(link));
+  }
+
+  /** Removes the loads of unregistered upstreams; returns whether there were any. */
+  boolean removeUnregistered() {
+    return loads.keySet().removeIf(id -> catalog.upstream(id).isEmpty());
+  }
+
+  boolean canStart(long nowMillis, UpstreamId upstream) {
+    return catalog.upstream(upstream).filter(entry -> canStart(nowMillis, entry)).isPresent();
+  }
+
+  boolean canStart(long nowMillis, UpstreamRegistration entry) {
+    boolean cold = entry.cold(nowMillis);
+    double coldPerSecond = cold ? coldPerSecond(entry.service()) : 0;
+    return load(entry).canStart(nowMillis, entry.slots(), cold, coldPerSecond);
+  }
+
+  /** Returns the upstream that can start a request without a key at the lowest cost. */
+  Optional<UpstreamRegistration> cheapest(long nowMillis, SlotRequest request) {
+    UpstreamRegistration cheapest = null;
+    double lowestCost = Double.POSITIVE_INFINITY;
+    for (UpstreamRegistration entry : catalog.usable(request.service())) {
+      if (!request.excludedUpstreams().contains(entry.id()) && canStart(nowMillis, entry)) {
+        double cost = cost(nowMillis, request, entry);
+        if (cost < lowestCost) {
+          cheapest = entry;
+          lowestCost = cost;
+        }
+      }
+    }
+    return Optional.ofNullable(cheapest);
+  }
+
+  private double cost(long nowMillis, SlotRequest request, UpstreamRegistration entry) {
+    double remotePenalty =
+        request.largeResponse() ? REMOTE_LARGE_PENALTY_MILLIS : REMOTE_PENALTY_MILLIS;
+    double distanceCost = entry.dataCentre().equals(request.dataCentre()) ? 0 : remotePenalty;
+    UpstreamLoad load = load(entry);
+    return load.expectedRunMillis(nowMillis) * (1 + 4 * load.failureRate()) + distanceCost;
+  }
+
+  /** Returns the throughput of an upstream, in requests per second. */
+  double requestsPerSecond(long nowMillis, UpstreamRegistration entry) {
+    UpstreamLoad load = load(entry);
+    double successRate = Math.max(0.1, 1 - load.failureRate());
+    double warmPerSecond = entry.slots() * 1_000 / Math.max(1, load.meanRunMillis()) * successRate;
+    double coldLimit = entry.cold(nowMillis) ? coldPerSecond(entry.service()) : 0;
+    return coldLimit > 0 ? Math.min(warmPerSecond, coldLimit) : warmPerSecond;
+  }
+
+  /** Returns the throughput of the usable upstreams of a service, in requests per second. */
+  double requestsPerSecond(long nowMillis, ServiceId service) {
+    List<UpstreamRegistration> usable = catalog.usable(service);
+    ServiceRate rate = rates.get(service);
+    if (rate == null || !rate.covers(usable)) {
+      rate = ServiceRate.of(usable, entry -> currentRate(nowMillis, entry));
+      rates.put(service, rate);
+    }
+    return rate.perSecond();
+  }
+
+  /** Updates the throughput of a service after a change of the load of one of its upstreams. */
+  void updateRate(long nowMillis, UpstreamRegistration entry) {
+    ServiceRate rate = rates.get(entry.service());
+    if (rate != null) {
+      rate.update(entry.id(), currentRate(nowMillis, entry));
+    }
+  }
+
+  /**
+   * Computes all throughputs anew when they are next read, since upstreams warm up and updated sums
+   * accumulate rounding errors.
+   */
+  void resetRates() {
+    rates.clear();
+  }
+
+  private double currentRate(long nowMillis, UpstreamRegistration entry) {
+    boolean inBackoff = nowMillis < load(entry).backoffUntilMillis();
+    return inBackoff ? 0 : requestsPerSecond(nowMillis, entry);
+  }
+
+  private double coldPerSecond(ServiceId service) {
+    return catalog
+        .configuration()
+        .flatMap(configuration -> configuration.service(service))
+        .map(ServiceSpec::coldRequestsPerSecond)
+        .orElse(0.0);
+  }
+}
