Split the estimates of waiting times off SlotBroker

When a waiting request will get a slot, whether that misses its deadline and when a refused one should return are now answered by StartEstimator. SlotBroker keeps what it does with the answers: it grants, refuses and releases.

The key owner of a request is looked up once for each estimate or refusal and handed on; before, it was looked up again in three places. Nothing changes the owners within one call of the broker.

Left alone: ServiceQueue, which holds order, arrival rates and reserved retry times of one service, is used by both.

The tests of core.host.slots pass (19).

The entry host loads one class more, core.host.slots.StartEstimator.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -22,30 +22,13 @@
  * immediately, with a retry delay after which a slot is expected to be free.
  */
 public final class SlotBroker {
-  /** Minimum retry delay of a refused request, in milliseconds. */
-  private static final long MIN_RETRY_AFTER_MILLIS = 40;
-
-  /** The retry delay is at most the time until the request's deadline divided by this. */
-  private static final int RETRY_AFTER_DIVISOR = 3;
-
-  /** Fraction of the mean run time that must remain before the deadline when a request starts. */
-  private static final double MIN_RUN_FRACTION = 0.7;
-
-  /** Fraction of the later requests that overtake a request which cannot meet its target. */
-  private static final double OVERTAKING_FRACTION = 0.8;
-
-  /** Utilization of a service above which hot keys cannot be moved to less loaded upstreams. */
-  private static final double SATURATION_UTILIZATION = 0.7;
-
-  /** Throughput up to which no request is expected to start, in requests per second. */
-  private static final double MIN_THROUGHPUT_PER_SECOND = 0.1;
-
   /** The time at which the backoff of an upstream ends. */
   private record BackoffEnd(long atMillis, UpstreamId upstream) {}
 
   private final Catalog catalog;
   private final KeyLookup keyLookup;
   private final UpstreamLoads loads;
+  private final StartEstimator estimator;
   private final Map<SlotRequestId, UpstreamId> upstreamsInUse = new HashMap<>();
   private final Map<ServiceId, ServiceQueue> queues = new HashMap<>();
   private final PriorityQueue<BackoffEnd> backoffEnds =
@@ -56,6 +39,7 @@
     this.catalog = catalog;
     this.keyLookup = keyLookup;
     this.loads = new UpstreamLoads(catalog, service -> queue(service).meanRunMillis());
+    this.estimator = new StartEstimator(catalog, keyLookup, loads);
   }
 
   /** Returns a broker without slot requests. */
@@ -272,7 +256,7 @@
   }
 
   private Backlog backlog(long nowMillis, ServiceId service) {
-    return new Backlog(isSaturated(nowMillis, service));
+    return new Backlog(estimator.isSaturated(nowMillis, service, queue(service)));
   }
 
   private boolean refuseIfMissesDeadline(
@@ -281,29 +265,23 @@
       SlotRequest request,
       Optional<UpstreamId> keyOwner,
       Backlog backlog) {
-    long startMillis = expectedStartMillis(nowMillis, queue, request, keyOwner, backlog);
-    boolean missesDeadline =
-        startMillis + queue.meanRunMillis() * MIN_RUN_FRACTION > request.deadlineMillis();
+    long startMillis = estimator.startMillis(nowMillis, queue, request, keyOwner, backlog);
+    boolean missesDeadline = StartEstimator.missesDeadline(queue, request, startMillis);
     if (missesDeadline) {
-      refuse(nowMillis, queue, request, startMillis);
+      refuse(nowMillis, queue, request, keyOwner, startMillis);
     }
     return missesDeadline;
   }
 
-  private void refuse(long nowMillis, ServiceQueue queue, SlotRequest request, long startMillis) {
+  private void refuse(
+      long nowMillis,
+      ServiceQueue queue,
+      SlotRequest request,
+      Optional<UpstreamId> keyOwner,
+      long startMillis) {
     queue.remove(request.id());
-    double gapMillis = 1_000 / Math.max(0.5, throughput(nowMillis, request));
-    long maxRetryAfterMillis =
-        Math.max(0, request.deadlineMillis() - nowMillis) / RETRY_AFTER_DIVISOR;
-    long readyMillis = request.key().isEmpty() ? nowMillis : ownerReadyMillis(nowMillis, request);
-    long halfwayMillis = nowMillis + Math.min(startMillis - nowMillis, maxRetryAfterMillis) / 2;
-    long earliestMillis =
-        Math.max(halfwayMillis, Math.min(readyMillis, nowMillis + maxRetryAfterMillis));
-    long returnAfterMillis =
-        queue.reserveRetryMillis(nowMillis, keyOwner(request), earliestMillis, gapMillis)
-            - nowMillis;
     long retryAfterMillis =
-        Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(returnAfterMillis, maxRetryAfterMillis));
+        estimator.reserveRetryAfterMillis(nowMillis, queue, request, keyOwner, startMillis);
     String reason =
         request.key().isPresent()
             ? "the key's owner has no room"
@@ -311,49 +289,6 @@
     effects.add(new SlotEffect.Refuse(request.id(), retryAfterMillis, reason));
   }
 
-  /** Returns the time at which a request behind a backlog is expected to get a slot. */
-  private long expectedStartMillis(
-      long nowMillis,
-      ServiceQueue queue,
-      SlotRequest request,
-      Optional<UpstreamId> keyOwner,
-      Backlog backlog) {
-    double throughput = throughput(nowMillis, request);
-    long startMillis = startAfterMillis(nowMillis, backlog.ahead(keyOwner), throughput);
-    boolean offloadable = request.key().isPresent() && !backlog.serviceSaturated();
-    if (!queue.canMeetTarget(request, startMillis) && !offloadable) {
-      // Later requests that can meet their target take precedence over this one.
-      double overtakingPerSecond =
-          OVERTAKING_FRACTION * queue.arrivalsPerSecond(nowMillis, keyOwner);
-      startMillis =
-          startAfterMillis(nowMillis, backlog.ahead(keyOwner), throughput - overtakingPerSecond);
-    }
-    return request.key().isEmpty()
-        ? startMillis
-        : Math.max(startMillis, ownerReadyMillis(nowMillis, request));
-  }
-
-  /** Returns whether the request rate of a service is close to the throughput of its upstreams. */
-  private boolean isSaturated(long nowMillis, ServiceId service) {
-    return queue(service).arrivalsPerSecond(nowMillis)
-        > SATURATION_UTILIZATION * loads.requestsPerSecond(nowMillis, service);
-  }
-
-  private static long startAfterMillis(long nowMillis, int ahead, double perSecond) {
-    return perSecond <= MIN_THROUGHPUT_PER_SECOND
-        ? Long.MAX_VALUE / 4
-        : nowMillis + Math.round((ahead + 0.5) * 1_000 / perSecond);
-  }
-
-  private long ownerReadyMillis(long nowMillis, SlotRequest request) {
-    long holderReadyMillis =
-        keyLookup.readyMillis(nowMillis, request.service(), request.key().orElseThrow());
-    return keyOwner(request)
-        .flatMap(loads::find)
-        .map(load -> Math.max(holderReadyMillis, load.backoffUntilMillis()))
-        .orElse(holderReadyMillis);
-  }
-
   /**
    * Returns the owner of a request's key, which is the only upstream that can serve it; empty for a
    * request without a key and for an unknown owner.
@@ -364,20 +299,6 @@
         : keyLookup.owner(request.service(), request.key().getAsInt());
   }
 
-  /**
-   * Returns the throughput available to a request and its competitors, in requests per second: that
-   * of the key owner, or that of the whole service for a request without a key.
-   */
-  private double throughput(long nowMillis, SlotRequest request) {
-    if (request.key().isPresent()) {
-      return keyOwner(request)
-          .flatMap(catalog::upstream)
-          .map(entry -> loads.requestsPerSecond(nowMillis, entry))
-          .orElseGet(() -> 2_000 / queue(request.service()).meanRunMillis());
-    }
-    return loads.requestsPerSecond(nowMillis, request.service());
-  }
-
   private ServiceQueue queue(ServiceId service) {
     return queues.computeIfAbsent(service, id -> new ServiceQueue());
   }
