Call the warm-up state of an upstream by one name

The type is WarmUpState and the glossary says warm-up, but the router's view of an upstream and the mapping to protobuf still said temperature. They now say warm-up state (UpstreamView, UpstreamViews, SlotPool, DispatcherLink; TemperatureMapping is WarmUpStateMapping). Two constructors of core.routing named their RequestLifecycle flow; the parameter has the field's name now.

Left alone: the messages of dispatch.proto keep their names, since they are the wire format.

--- a/core/src/main/java/dev/hornbeamwheel/core/routing/AttemptExecutor.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/AttemptExecutor.java
@@ -31,9 +31,9 @@
   private final LatencyEstimator latencies = new LatencyEstimator();
   private final LoadCounters load = new LoadCounters();
 
-  AttemptExecutor(RoutingContext context, RequestLifecycle flow, RoutingFaults faults) {
+  AttemptExecutor(RoutingContext context, RequestLifecycle lifecycle, RoutingFaults faults) {
     this.context = context;
-    this.lifecycle = flow;
+    this.lifecycle = lifecycle;
     this.faults = faults;
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/ClaimCoordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/ClaimCoordinator.java
@@ -26,9 +26,9 @@
   private final RoutingFaults faults;
   private final OutcomeNotifier settlements;
 
-  ClaimCoordinator(RoutingContext context, RequestLifecycle flow, RoutingFaults faults) {
+  ClaimCoordinator(RoutingContext context, RequestLifecycle lifecycle, RoutingFaults faults) {
     this.context = context;
-    this.lifecycle = flow;
+    this.lifecycle = lifecycle;
     this.faults = faults;
     this.settlements =
         OutcomeNotifier.create(
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/DispatcherLink.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/DispatcherLink.java
@@ -74,7 +74,7 @@
         >= (reportOften ? REPORT_INTERVAL_MILLIS : IDLE_REPORT_INTERVAL_MILLIS);
   }
 
-  void report(long nowMillis, List<HeldLease> leases, List<WarmUpState> temperatures) {
+  void report(long nowMillis, List<HeldLease> leases, List<WarmUpState> warmUpStates) {
     if (dispatcher == null) {
       return;
     }
@@ -90,7 +90,7 @@
             lastAckMillis,
             backsDispatcher(nowMillis),
             leases,
-            temperatures));
+            warmUpStates));
   }
 
   /**
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/SlotPool.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/SlotPool.java
@@ -124,7 +124,7 @@
         .filter(slot -> !slot.busy && shouldReturn(nowMillis, slot))
         .forEach(slot -> returnSlot(slot, UseResult.UNUSED, 0, 0));
     if (link.reportDue(nowMillis, !waiting.isEmpty() || !heldSlots.isEmpty())) {
-      link.report(nowMillis, heldLeases(nowMillis), recentTemperatures(nowMillis));
+      link.report(nowMillis, heldLeases(nowMillis), recentWarmUpStates(nowMillis));
     }
     if (link.unavailable(nowMillis)) {
       startWithoutDispatcher(nowMillis);
@@ -159,7 +159,7 @@
 
   private void sendSlotRequest(long nowMillis, RequestState request) {
     if (link.awaitsFirstAck()) {
-      link.report(nowMillis, heldLeases(nowMillis), recentTemperatures(nowMillis));
+      link.report(nowMillis, heldLeases(nowMillis), recentWarmUpStates(nowMillis));
     }
     request.slotRequestedAtMillis = nowMillis;
     link.send(
@@ -325,10 +325,10 @@
         .toList();
   }
 
-  private List<WarmUpState> recentTemperatures(long nowMillis) {
+  private List<WarmUpState> recentWarmUpStates(long nowMillis) {
     long since = link.awaitsFirstAck() ? Long.MIN_VALUE : nowMillis - Dispatcher.LEASE_MILLIS;
     return context
         .views()
-        .temperatures(context.topology().pool(key), view -> view.changedAtMillis() >= since);
+        .warmUpStates(context.topology().pool(key), view -> view.changedAtMillis() >= since);
   }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/UpstreamView.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/UpstreamView.java
@@ -12,7 +12,7 @@
   private static final double MILLIS_PER_SECOND = 1000.0;
 
   int inFlight;
-  private WarmUpState temperature;
+  private WarmUpState warmUpState;
   private long changedAtMillis;
   private long pausedUntilMillis;
   private int consecutiveFailures;
@@ -20,11 +20,11 @@
   private long tokensRefilledAtMillis = -1;
 
   UpstreamView(UpstreamId upstream) {
-    temperature = new WarmUpState(upstream, 0, 0, 0, false);
+    warmUpState = new WarmUpState(upstream, 0, 0, 0, false);
   }
 
-  WarmUpState temperature() {
-    return temperature;
+  WarmUpState warmUpState() {
+    return warmUpState;
   }
 
   long changedAtMillis() {
@@ -39,40 +39,40 @@
     return consecutiveFailures > 0;
   }
 
-  /** Adopts the temperature that a dispatcher reports, if it is newer. */
+  /** Adopts the warm-up state that a dispatcher reports, if it is newer. */
   void merge(long nowMillis, WarmUpState other) {
-    boolean newer = other.coldStarts() > temperature.coldStarts();
-    boolean same = other.coldStarts() == temperature.coldStarts();
-    boolean warmer = same && other.ratePerSecond() > temperature.ratePerSecond();
-    if (newer || warmer || (same && other.warm() && !temperature.warm())) {
-      temperature = other;
+    boolean newer = other.coldStarts() > warmUpState.coldStarts();
+    boolean same = other.coldStarts() == warmUpState.coldStarts();
+    boolean warmer = same && other.ratePerSecond() > warmUpState.ratePerSecond();
+    if (newer || warmer || (same && other.warm() && !warmUpState.warm())) {
+      warmUpState = other;
       changedAtMillis = nowMillis;
     }
   }
 
   /** Records the observed incarnation; a restarted upstream is cold. */
   void recordIncarnation(long nowMillis, long incarnation) {
-    if (incarnation == 0 || incarnation == temperature.incarnation()) {
+    if (incarnation == 0 || incarnation == warmUpState.incarnation()) {
       return;
     }
-    boolean restarted = temperature.incarnation() != 0;
-    temperature =
+    boolean restarted = warmUpState.incarnation() != 0;
+    warmUpState =
         new WarmUpState(
-            temperature.upstream(),
+            warmUpState.upstream(),
             incarnation,
-            temperature.coldStarts() + (restarted ? 1 : 0),
-            restarted ? 0 : temperature.ratePerSecond(),
-            !restarted && temperature.warm());
+            warmUpState.coldStarts() + (restarted ? 1 : 0),
+            restarted ? 0 : warmUpState.ratePerSecond(),
+            !restarted && warmUpState.warm());
     changedAtMillis = nowMillis;
   }
 
   /** Marks the upstream as cold and pauses it after its connection was lost. */
   void recordLoss(long nowMillis) {
-    temperature =
+    warmUpState =
         new WarmUpState(
-            temperature.upstream(),
-            temperature.incarnation(),
-            temperature.coldStarts() + 1,
+            warmUpState.upstream(),
+            warmUpState.incarnation(),
+            warmUpState.coldStarts() + 1,
             0,
             false);
     changedAtMillis = nowMillis;
@@ -98,7 +98,7 @@
    * @param routers routers that share the part of the initial rate left by dispatchers
    */
   boolean tryTakeColdStartToken(long nowMillis, ColdStart coldStart, int routers) {
-    if (temperature.warm()) {
+    if (warmUpState.warm()) {
       return true;
     }
     double ratePerSecond =
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/UpstreamViews.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/UpstreamViews.java
@@ -16,23 +16,23 @@
     return views.computeIfAbsent(upstream, UpstreamView::new);
   }
 
-  void merge(long nowMillis, List<WarmUpState> temperatures) {
-    temperatures.forEach(t -> of(t.upstream()).merge(nowMillis, t));
+  void merge(long nowMillis, List<WarmUpState> states) {
+    states.forEach(state -> of(state.upstream()).merge(nowMillis, state));
   }
 
-  /** Returns the temperatures of the given upstreams whose views match the filter. */
-  List<WarmUpState> temperatures(List<Upstream> upstreams, Predicate<UpstreamView> filter) {
+  /** Returns the warm-up states of the given upstreams whose views match the filter. */
+  List<WarmUpState> warmUpStates(List<Upstream> upstreams, Predicate<UpstreamView> filter) {
     return upstreams.stream()
         .map(upstream -> of(upstream.id()))
         .filter(filter)
-        .map(UpstreamView::temperature)
+        .map(UpstreamView::warmUpState)
         .toList();
   }
 
   /** Returns whether any of the given upstreams is not known to be warm. */
   boolean anyCold(List<Upstream> upstreams) {
     for (Upstream upstream : upstreams) {
-      if (!of(upstream.id()).temperature().warm()) {
+      if (!of(upstream.id()).warmUpState().warm()) {
         return true;
       }
     }
--- a/wire/src/main/java/dev/hornbeamwheel/wire/DispatchMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/DispatchMapping.java
@@ -46,10 +46,10 @@
       body.getHoldingAckBuilder()
           .setStampMillis(ack.heartbeatSentAtMillis())
           .setDispatcherMillis(ack.dispatcherMillis())
-          .addAllTemperatures(TemperatureMapping.allToProto(ack.warmUpStates()));
+          .addAllTemperatures(WarmUpStateMapping.allToProto(ack.warmUpStates()));
     } else if (message instanceof HandOver handOver) {
       body.getHandOverBuilder()
-          .addAllTemperatures(TemperatureMapping.allToProto(handOver.warmUpStates()));
+          .addAllTemperatures(WarmUpStateMapping.allToProto(handOver.warmUpStates()));
     }
     return body.build();
   }
@@ -78,12 +78,12 @@
               dataCentre,
               body.getHoldingAck().getStampMillis(),
               body.getHoldingAck().getDispatcherMillis(),
-              TemperatureMapping.allFromProto(body.getHoldingAck().getTemperaturesList()));
+              WarmUpStateMapping.allFromProto(body.getHoldingAck().getTemperaturesList()));
       case HAND_OVER ->
           new HandOver(
               service,
               dataCentre,
-              TemperatureMapping.allFromProto(body.getHandOver().getTemperaturesList()));
+              WarmUpStateMapping.allFromProto(body.getHandOver().getTemperaturesList()));
       case MESSAGE_NOT_SET -> throw new IllegalArgumentException("empty dispatch message");
     };
   }
@@ -119,7 +119,7 @@
         .setUpstream(lease.upstream().value())
         .setDurationMillis(lease.durationMillis())
         .setReusable(lease.reusable())
-        .setTemperature(TemperatureMapping.toProto(lease.warmUpState()))
+        .setTemperature(WarmUpStateMapping.toProto(lease.warmUpState()))
         .build();
   }
 
@@ -133,7 +133,7 @@
         UpstreamId.of(proto.getUpstream()),
         proto.getDurationMillis(),
         proto.getReusable(),
-        TemperatureMapping.fromProto(proto.getTemperature()));
+        WarmUpStateMapping.fromProto(proto.getTemperature()));
   }
 
   private static DispatchBody.SlotReturn slotReturn(SlotReturn slotReturn) {
@@ -164,7 +164,7 @@
             .setStampMillis(holding.sentAtMillis())
             .setEchoMillis(holding.echoMillis())
             .setBacked(holding.supportsDispatcher())
-            .addAllTemperatures(TemperatureMapping.allToProto(holding.warmUpStates()));
+            .addAllTemperatures(WarmUpStateMapping.allToProto(holding.warmUpStates()));
     holding
         .leases()
         .forEach(
@@ -195,6 +195,6 @@
                         lease.getBusyMillis(),
                         lease.getBusy()))
             .toList(),
-        TemperatureMapping.allFromProto(proto.getTemperaturesList()));
+        WarmUpStateMapping.allFromProto(proto.getTemperaturesList()));
   }
 }
