Split the platform contact and the close notice off Cell

Cell joins the parts of one cell of the ownership protocol, but did two jobs itself, with fields of their own: knowing when the platform last held a term number, which decides whether a YIELD service may be served, and repeating the notice that earlier term numbers are closed.

Left alone: what Cell does with the row (learn, replicate, write) and its message handlers, which call the parts in an order that matters.

--- a/core/src/main/java/dev/hornbeamwheel/core/ownership/Cell.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/ownership/Cell.java
@@ -1,7 +1,6 @@
 package dev.hornbeamwheel.core.ownership;
 
 import dev.hornbeamwheel.core.Decision;
-import dev.hornbeamwheel.core.config.Isolation;
 import dev.hornbeamwheel.core.config.Service;
 import dev.hornbeamwheel.core.model.CellId;
 import dev.hornbeamwheel.core.model.MemberId;
@@ -14,9 +13,7 @@
 import dev.hornbeamwheel.core.ownership.OwnershipMessage.SealRequest;
 import dev.hornbeamwheel.core.ownership.OwnershipMessage.StoreRow;
 import dev.hornbeamwheel.core.ownership.OwnershipMessage.TermsClosed;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -27,18 +24,6 @@
   /** Interval between reads of the row while it or its leader is unknown. */
   private static final long READ_INTERVAL_MILLIS = 500;
 
-  /**
-   * Age of the last contact with the platform after which the leader of a {@code YIELD} service
-   * reads the row, to show that it is not isolated.
-   */
-  private static final long CONTACT_REFRESH_MILLIS = 700;
-
-  /** Interval between notices of closed terms after the first {@link #CLOSE_NOTICE_REPEATS}. */
-  private static final long CLOSE_NOTICE_INTERVAL_MILLIS = 500;
-
-  /** Number of notices of closed terms on consecutive ticks, since messages may be lost. */
-  private static final int CLOSE_NOTICE_REPEATS = 4;
-
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final ControllerContext context;
@@ -49,13 +34,11 @@
   private final TermSealer sealer;
   private final RowStore rowStore;
   private final VoterSetPlanner voterSetPlanner;
+  private final PlatformContact platformContact;
+  private final CloseNotice closeNotice;
   private Leader leader;
   private boolean rowAbsent;
   private long lastReadAt = NEVER;
-  private final Map<Long, Long> platformSeenAtByTerm = new HashMap<>();
-  private long closedTermNumber;
-  private int closeNoticesLeft;
-  private long closeNoticeSentAt;
 
   Cell(ControllerContext context, CellId id) {
     this.context = context;
@@ -66,6 +49,8 @@
     this.sealer = new TermSealer(context, id, liveness);
     this.rowStore = new RowStore(id, context);
     this.voterSetPlanner = new VoterSetPlanner(context, id, liveness);
+    this.platformContact = new PlatformContact(context);
+    this.closeNotice = new CloseNotice(context, id);
   }
 
   Optional<CellRow> row() {
@@ -97,8 +82,10 @@
     elector.tick(row, leader != null, now);
     sealPredecessors(row, now);
     confirmLeadership(service, row, now);
-    sendCloseNotice(row, now);
-    refreshPlatformContact(service, now);
+    closeNotice.tick(row, leader != null, now);
+    if (platformContact.refreshDue(service, elector.election(), now)) {
+      rowStore.read(now);
+    }
     if (leader != null) {
       tickLeader(service, row, now);
     } else {
@@ -138,7 +125,7 @@
   }
 
   private boolean leadershipValid(Service service, long now) {
-    return validElection(now).filter(e -> mayServe(service, e, now)).isPresent();
+    return validElection(now).filter(e -> platformContact.mayServe(service, e, now)).isPresent();
   }
 
   private boolean leadsDeclaredService(long now) {
@@ -149,37 +136,6 @@
         .isPresent();
   }
 
-  /**
-   * Returns whether the service may be served: a {@code YIELD} service needs recent contact with
-   * the platform or the witnesses.
-   */
-  private boolean mayServe(Service service, Election election, long now) {
-    return service.isolation() == Isolation.KEEP_SERVING
-        || now
-            < platformSeenAt(election) + ClockDrift.minElapsed(context.options().yieldAfterMillis())
-        || election.witnessLeaseValid(now, context.options());
-  }
-
-  /** Returns when the platform was last known to hold the term number of an election. */
-  private long platformSeenAt(Election election) {
-    return platformSeenAtByTerm.getOrDefault(election.term().number(), NEVER);
-  }
-
-  private void refreshPlatformContact(Service service, long now) {
-    boolean unseen =
-        elector
-            .election()
-            .filter(
-                e ->
-                    e.leaseValid(now, context.options())
-                        && !e.witnessLeaseValid(now, context.options()))
-            .filter(e -> now - platformSeenAt(e) >= CONTACT_REFRESH_MILLIS)
-            .isPresent();
-    if (unseen && service.isolation() == Isolation.YIELD) {
-      rowStore.read(now);
-    }
-  }
-
   private void resign() {
     log("resign", "leader lease expired", leader.row());
     leader = null;
@@ -209,22 +165,7 @@
     log("resign", "leadership moved to the voters of a later term number", row);
     leader = null;
     elector.clearEarlier();
-    closedTermNumber = earlierTermNumber;
-    closeNoticesLeft = CLOSE_NOTICE_REPEATS;
-  }
-
-  private void sendCloseNotice(CellRow row, long now) {
-    if (row.unsealed().isEmpty() || closedTermNumber == 0 || leader != null) {
-      closedTermNumber = 0;
-      return;
-    }
-    if (closeNoticesLeft == 0 && now - closeNoticeSentAt < CLOSE_NOTICE_INTERVAL_MILLIS) {
-      return;
-    }
-    closeNoticesLeft = Math.max(0, closeNoticesLeft - 1);
-    closeNoticeSentAt = now;
-    MemberId successor = context.topology().rank(id, row.voters()).get(0).member();
-    row.voters().forEach(v -> send(v.member(), new TermsClosed(closedTermNumber, row, successor)));
+    closeNotice.start(earlierTermNumber);
   }
 
   private void confirmLeadership(Service service, CellRow row, long now) {
@@ -235,7 +176,7 @@
                 || context.skippedStep() == SkippedStep.NO_REPLICATION);
     if (!replicated
         || !sealer.earlierLeadersEnded(row.unsealed(), service, now)
-        || !mayServe(service, election, now)) {
+        || !platformContact.mayServe(service, election, now)) {
       return;
     }
     if (leader == null) {
@@ -324,8 +265,7 @@
     if (result instanceof RowReadResult.Found found) {
       learn(found.row(), rowStore.isOwnWrite(found.row()), now);
       publishLeaderlessRow(found.row());
-      startedAt.ifPresent(
-          at -> platformSeenAtByTerm.merge(found.row().termNumber(), at, Math::max));
+      startedAt.ifPresent(at -> platformContact.record(found.row().termNumber(), at));
     }
   }
 
@@ -335,7 +275,7 @@
         .onWriteEnded(operationId, result, now)
         .ifPresent(
             row -> {
-              platformSeenAtByTerm.merge(row.termNumber(), startedAt, Math::max);
+              platformContact.record(row.termNumber(), startedAt);
               learn(row, true, now);
               publishLeaderlessRow(row);
             });
