Remove two accessors of UpstreamLoad that nothing calls

runningCount and holds are package-private and have no caller in the main or the test code; core compiles without them and the tests of core.host.slots pass (19).

--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoad.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoad.java
@@ -46,10 +46,6 @@
     this.meanRunMillis = runMillis;
   }
 
-  int runningCount() {
-    return startMillisByRequest.size();
-  }
-
   double meanRunMillis() {
     return meanRunMillis;
   }
@@ -93,10 +89,6 @@
     }
   }
 
-  boolean holds(SlotRequestId requestId) {
-    return startMillisByRequest.containsKey(requestId);
-  }
-
   void recordEnd(
       long nowMillis,
       SlotRequestId requestId,
