--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/GrantTrackerTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/GrantTrackerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Tests the bounds on how long an upstream may hold a range, by the results of its grants. */
@@ -50,4 +51,31 @@
     assertThat(tracker.hasConfirmedGrant(HOLD_MILLIS)).isFalse();
     assertThat(tracker.expired(500 + HOLD_ON_SLOW_CLOCK_MILLIS)).isFalse();
   }
+
+  // Guards against two owners of a key after a jump of the local clock, which no upstream sees.
+  @Test
+  void allExpiriesArePostponedWhenTheLocalClockJumps() {
+    long jump = 60_000;
+    GrantTracker answered = GrantTracker.neverGranted();
+    answered.sent(0, 1, HOLD_MILLIS);
+    answered.answered(1, 1);
+    GrantTracker unanswered = GrantTracker.neverGranted();
+    unanswered.sent(0, 2, HOLD_MILLIS);
+    unanswered.unanswered(GrantTracker.CALL_TIMEOUT_MILLIS, 2);
+    GrantTracker inherited = GrantTracker.grantedUntil(HOLD_ON_SLOW_CLOCK_MILLIS, 1_000);
+    GrantTracker inFlight = GrantTracker.neverGranted();
+    inFlight.sent(0, 3, HOLD_MILLIS);
+    long inFlightExpiry = inFlight.latestExpiryMillis();
+
+    List.of(answered, unanswered, inherited, inFlight).forEach(tracker -> tracker.postpone(jump));
+
+    assertThat(answered.expired(jump + HOLD_ON_SLOW_CLOCK_MILLIS)).isFalse();
+    assertThat(unanswered.unansweredExpiryMillis())
+        .isGreaterThanOrEqualTo(
+            jump + GrantTracker.CALL_TIMEOUT_MILLIS + HOLD_ON_SLOW_CLOCK_MILLIS);
+    assertThat(inherited.mayBeInFlight(jump + 1_000)).isTrue();
+    assertThat(inherited.expired(jump + HOLD_ON_SLOW_CLOCK_MILLIS)).isFalse();
+    assertThat(inFlight.latestExpiryMillis()).isEqualTo(inFlightExpiry + jump);
+    assertThat(GrantTracker.neverGranted().expired(0)).isTrue();
+  }
 }
