Take back the wait for grants of the former term, for its cost to callers

What stays of: within a term keys of a live owner don't move while an unanswered grant may be carried out; new: nor while a grant of the former term may still arrive (1,050 ms), in which they had no holder.

A way without the wait: a higher fencing token for the owner first, docs/QUESTIONS.md.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
@@ -45,10 +45,10 @@
 
   private final Map<Long, InFlightGrant> inFlight = new HashMap<>();
 
-  /** Latest expiry of answered grants. */
+  /** Latest expiry of answered grants and of grants of earlier coordinators. */
   private long answeredExpiryMillis = NEVER;
 
-  /** Latest expiry of unanswered grants and of grants of earlier coordinators. */
+  /** Latest expiry of grants whose calls were reset without an answer. */
   private long unansweredExpiryMillis = NEVER;
 
   /** Time until which an answered grant certainly lasts. */
@@ -72,8 +72,7 @@
    */
   static GrantTracker grantedUntil(long expiryMillis, long arrivalMillis) {
     GrantTracker tracker = new GrantTracker();
-    // They may have stayed unanswered, so that a release does not end them.
-    tracker.unansweredExpiryMillis = expiryMillis;
+    tracker.answeredExpiryMillis = expiryMillis;
     tracker.inheritedArrivalMillis = arrivalMillis;
     return tracker;
   }
@@ -203,6 +202,14 @@
     return unansweredExpiryMillis;
   }
 
+  /**
+   * Returns whether the answer to a release that is sent now ends all grants: no grant of an
+   * earlier coordinator may still arrive, and no unanswered grant may still be carried out.
+   */
+  boolean releaseEndsAllGrants(long nowMillis) {
+    return nowMillis > inheritedArrivalMillis && nowMillis > unansweredExpiryMillis;
+  }
+
   /** Describes the grants for a log line, with times relative to now. */
   String describe(long nowMillis) {
     return "answered grants expire by "
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/MovePlan.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/MovePlan.java
@@ -54,8 +54,7 @@
     return ranges
         .find(move.range().first())
         .filter(
-            range ->
-                needsNewOwner(range) || nowMillis > range.ownerGrants().unansweredExpiryMillis())
+            range -> needsNewOwner(range) || range.ownerGrants().releaseEndsAllGrants(nowMillis))
         .isPresent();
   }
 
