--- a/host/src/test/java/dev/hornbeamwheel/host/OddRowTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/OddRowTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.log.LogEntry;
 import dev.hornbeamwheel.core.host.node.HostEvent;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.UpstreamId;
@@ -11,8 +12,10 @@
 import dev.hornbeamwheel.standins.site.SiteCaller;
 import dev.hornbeamwheel.standins.site.StoreStandin;
 import io.netty.channel.EventLoopGroup;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -32,6 +35,7 @@
 
   private final EventLoopGroup loop = HostModule.loop();
   private final BlockingQueue<HostEvent> events = new LinkedBlockingQueue<>();
+  private final List<LogEntry> log = new CopyOnWriteArrayList<>();
   private StoreStandin store;
   private KeyedUpstreamStandin upstream;
   private PlatformAdapter platform;
@@ -46,7 +50,7 @@
             loop,
             HostModule.clock(),
             events::add,
-            entry -> {});
+            log::add);
   }
 
   @AfterEach
@@ -80,6 +84,7 @@
     store.remove("servers", key);
     putGood("i-desk-4");
     assertThat(await(HostEvent.UpstreamChanged.class).entry().id().value()).isEqualTo("i-desk-4");
+    assertThat(logged("registration-unreadable")).as(name).isEqualTo(1);
   }
 
   static Stream<Arguments> oddRows() {
@@ -119,6 +124,7 @@
     awaitEvacuated("morlaix");
     store.put("op", "config", SiteCaller.CONFIGURATION);
     await(HostEvent.ConfigurationRead.class);
+    assertThat(logged("evacuation-unreadable")).isEqualTo(1);
   }
 
   /** Guards against an unreadable row that keeps an upstream which registered before it. */
@@ -136,6 +142,7 @@
         .isEqualTo(UpstreamId.of("i-desk-0"));
     store.put("servers", "i-desk-0", "[]");
     await(HostEvent.UpstreamRemoved.class);
+    assertThat(logged("registration-unreadable")).isEqualTo(2);
   }
 
   private void putGood(String id) {
@@ -160,6 +167,10 @@
     return kind.cast(event);
   }
 
+  private long logged(String event) {
+    return log.stream().filter(entry -> entry.event().equals(event)).count();
+  }
+
   private static String registration(int port) {
     return """
         {"address":"127.0.0.1:%d","born":1700000000000,
