--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OrderResult.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OrderResult.java
@@ -17,12 +17,15 @@
   /** A different upstream now runs at the address; it holds no keys of the intended one. */
   record Misdirected() implements OrderResult {}
 
-  /** The upstream refused the order for another reason and did nothing. */
+  /** The upstream refused the order for another reason and stated that it did nothing. */
   record Refused(int status) implements OrderResult {}
 
   /** The order was not sent, for instance because no connection could be made. */
   record NotSent(String reason) implements OrderResult {}
 
-  /** No answer arrived; the order may have been carried out or may still be carried out. */
+  /**
+   * No answer arrived that tells what the upstream did; the order may have been carried out or may
+   * still be carried out.
+   */
   record Unanswered(String reason) implements OrderResult {}
 }
--- /dev/null
+++ b/host/src/test/java/dev/hornbeamwheel/host/KeyOrderAnswerTest.java
@@ -0,0 +1,117 @@
+package dev.hornbeamwheel.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.keys.KeyEffect;
+import dev.hornbeamwheel.core.host.keys.KeyRange;
+import dev.hornbeamwheel.core.host.keys.OrderResult;
+import dev.hornbeamwheel.core.host.node.HostEffect;
+import dev.hornbeamwheel.core.host.node.HostEvent;
+import dev.hornbeamwheel.core.model.ServiceId;
+import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.platform.site.PlatformAdapter;
+import dev.hornbeamwheel.standins.site.ScriptedUpstreamStandin;
+import dev.hornbeamwheel.standins.site.ScriptedUpstreamStandin.Reply;
+import dev.hornbeamwheel.standins.site.ScriptedUpstreamStandin.Script;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What an upstream's answer to an order proves, over real connections. */
+final class KeyOrderAnswerTest {
+  private static final int WAIT_SECONDS = 20;
+  private static final long NOW_MILLIS = 1_000;
+  private static final KeyRange RANGE = new KeyRange(4_096, 8_191);
+
+  private final EventLoopGroup loop = HostModule.loop();
+  private final BlockingQueue<HostEvent> events = new LinkedBlockingQueue<>();
+
+  /** The clock stands still, so that a connection is never idle for longer than zero. */
+  private final PlatformAdapter adapter =
+      PlatformAdapter.create(
+          new Address("127.0.0.1", 1), loop, () -> NOW_MILLIS, events::add, entry -> {});
+
+  private ScriptedUpstreamStandin upstream;
+
+  @AfterEach
+  void stop() throws IOException {
+    upstream.close();
+    var unused = loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  // Guards against forgetting a grant that a failing upstream has applied all the same.
+  @ParameterizedTest
+  @ValueSource(ints = {400, 408, 429, 500, 502, 503, 504})
+  void aFailureWithoutTheMarkLeavesOpenWhetherTheGrantWasApplied(int status) throws Exception {
+    start(request -> Reply.keep(request.echo(status, "")));
+
+    assertThat(grant()).isInstanceOf(OrderResult.Unanswered.class);
+  }
+
+  // Guards against treating keys as released that the upstream still holds.
+  @ParameterizedTest
+  @ValueSource(ints = {400, 409, 429, 500, 503, 504})
+  void aFailureWithoutTheMarkLeavesOpenWhetherTheReleaseWasApplied(int status) throws Exception {
+    start(request -> Reply.keep(request.echo(status, "")));
+
+    assertThat(release()).isInstanceOf(OrderResult.Unanswered.class);
+  }
+
+  // Guards against holding keys back after an answer that proves that the grant was not applied.
+  @ParameterizedTest
+  @ValueSource(ints = {400, 429, 500, 503})
+  void aFailureWithTheMarkProvesThatNothingWasDone(int status) throws Exception {
+    start(request -> Reply.keep(request.echo(status, "", ScriptedUpstreamStandin.NOT_EXECUTED)));
+
+    assertThat(grant()).isEqualTo(new OrderResult.Refused(status));
+  }
+
+  // Guards against holding keys back after an answer that proves that the grant was not applied.
+  @Test
+  void aGreaterTokenAndAnotherInstanceProveThatTheGrantWasNotApplied() throws Exception {
+    start(request -> Reply.keep(request.echo(request.position() == 1 ? 409 : 421, "")));
+
+    assertThat(grant()).isInstanceOf(OrderResult.Fenced.class);
+    assertThat(grant()).isInstanceOf(OrderResult.Misdirected.class);
+  }
+
+  private void start(Script script) throws IOException {
+    upstream = ScriptedUpstreamStandin.start(script);
+  }
+
+  private OrderResult grant() throws InterruptedException {
+    return perform(
+        new KeyEffect.Grant(
+            1,
+            UpstreamId.of("i-1"),
+            address(),
+            RANGE,
+            12,
+            3_000,
+            Optional.empty(),
+            NOW_MILLIS + 250));
+  }
+
+  private OrderResult release() throws InterruptedException {
+    return perform(new KeyEffect.Release(1, UpstreamId.of("i-1"), address(), RANGE, 12));
+  }
+
+  private Address address() {
+    return new Address("127.0.0.1", upstream.port());
+  }
+
+  private OrderResult perform(KeyEffect effect) throws InterruptedException {
+    loop.execute(() -> adapter.performKeys(new HostEffect.Keys(1, ServiceId.of("ledger"), effect)));
+    HostEvent event = events.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertThat(event).isInstanceOf(HostEvent.OrderEnded.class);
+    return ((HostEvent.OrderEnded) event).result();
+  }
+}
