Never use a kept connection for a call that asks for a new one

Call.oldestIdleMillis says "zero for a new connection". HttpCaller compared with ">", so a connection that had become idle in the same millisecond was used.

With ">=" a connection that has been idle for zero milliseconds is too old for a limit of zero.

--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
@@ -11,7 +11,7 @@
  * @param address where to
  * @param request the request; released by the client
  * @param timeoutMillis how long to wait for the whole answer, in milliseconds
- * @param oldestIdleMillis longest time that the connection to use may have been idle, in
+ * @param oldestIdleMillis time for which the connection to use must not have been idle yet, in
  *     milliseconds; zero for a new connection
  * @param belongs tells whether an answer belongs to the request; others are passed over
  */
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/HttpCaller.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/HttpCaller.java
@@ -122,7 +122,7 @@
       if (!connection.usable(now)) {
         connections.removeFirst();
         connection.close();
-      } else if (connection.idleFor(now) > call.oldestIdleMillis()) {
+      } else if (connection.idleFor(now) >= call.oldestIdleMillis()) {
         return null;
       } else {
         return connections.removeFirst();
