Tell the answer to an order from extra answers to earlier orders

What callers would see: two upstreams that hold and serve the same keys (OWNER). Orders took any response for theirs, on kept connections too. An upstream that sends a response once more, or too late, so answered the next order: a repeated 409, 421 or marked refusal made the coordinator forget a grant that was applied, and a repeated 200 made a release count as done while the upstream went on with the keys. The requests of callers have an id that the response echoes; orders had none.

Change: each order carries an X-Hornbeamwheel-Request-Attempt-Id of its own. A response with another id is passed over. A response without an id answers an order on a new connection; on a reused one only a 200 does, and any other ends the order as unanswered and resets the connection. A release always uses a new connection, because its answer frees the keys and an upstream may not echo the ids of orders. wire gets ResponseMatcher in the place of a predicate: it tells the three cases apart and knows whether the connection is reused.

Weighed: a new connection for every order is safe too, but there are about 300 renewals a second and new connections are priced; releases are rare. An upstream at its connection limit may reset the connection of a release; the release is then sent again, and after that the grants expire: later, but safe. To use a kept connection if it has echoed ids before would avoid that, at the price of state in each connection; not done. What remains: an upstream that echoes no ids of orders and repeats the 200 of a grant makes the next renewal count as answered a moment early; the bytes of that renewal have left by then, so its hold time is off only by what the network holds them up.

KeyOrderAnswerTest before: 8 of the 10 new cases failed (Fenced, Misdirected, Refused and Done in the place of what the second order got; the release was answered by the extra answer; no ids). The two that passed guard what must stay: renewals share a connection, and a refusal on a new connection counts.

--- a/host/src/test/java/dev/hornbeamwheel/host/AnswerLimitsTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/AnswerLimitsTest.java
@@ -9,6 +9,7 @@
 import dev.hornbeamwheel.wire.http.Call;
 import dev.hornbeamwheel.wire.http.CallResult;
 import dev.hornbeamwheel.wire.http.HttpCaller;
+import dev.hornbeamwheel.wire.http.ResponseMatcher;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -119,7 +120,7 @@
         () -> {
           var unused =
               caller.call(
-                  new Call(address, request, CALL_TIMEOUT_MILLIS, 0, response -> true),
+                  new Call(address, request, CALL_TIMEOUT_MILLIS, 0, ResponseMatcher.inOrder()),
                   result::complete);
         });
     return result;
--- a/host/src/test/java/dev/hornbeamwheel/host/KeyOrderAnswerTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/KeyOrderAnswerTest.java
@@ -13,6 +13,7 @@
 import dev.hornbeamwheel.platform.site.PlatformAdapter;
 import dev.hornbeamwheel.standins.site.ScriptedUpstreamStandin;
 import dev.hornbeamwheel.standins.site.ScriptedUpstreamStandin.Reply;
+import dev.hornbeamwheel.standins.site.ScriptedUpstreamStandin.Request;
 import dev.hornbeamwheel.standins.site.ScriptedUpstreamStandin.Script;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
@@ -30,6 +31,7 @@
   private static final int WAIT_SECONDS = 20;
   private static final long NOW_MILLIS = 1_000;
   private static final KeyRange RANGE = new KeyRange(4_096, 8_191);
+  private static final String HANDOVER = "X-Hornbeamwheel-Handover: 5c0e7a21d94b36f8";
 
   private final EventLoopGroup loop = HostModule.loop();
   private final BlockingQueue<HostEvent> events = new LinkedBlockingQueue<>();
@@ -83,6 +85,91 @@
     assertThat(grant()).isInstanceOf(OrderResult.Misdirected.class);
   }
 
+  // Guards against taking the repeated answer to an earlier order for the answer to this one.
+  @ParameterizedTest
+  @ValueSource(ints = {200, 409, 421})
+  void aRepeatedAnswerIsNotTheAnswerToTheNextGrant(int status) throws Exception {
+    start(
+        request ->
+            Reply.keep(
+                request.position() == 1
+                    ? request.echo(status, "")
+                    : Request.echo(upstream.requests().get(0).attemptId(), status, "")
+                        + request.echo(503, "", ScriptedUpstreamStandin.NOT_EXECUTED)));
+    grant();
+
+    assertThat(grant()).isEqualTo(new OrderResult.Refused(503));
+    assertThat(upstream.requests()).extracting(Request::connection).containsExactly(1, 1);
+  }
+
+  // Guards against forgetting a grant because of an answer that may belong to an earlier order.
+  @ParameterizedTest
+  @ValueSource(ints = {409, 421, 503})
+  void aRefusalWithoutAnIdProvesNothingOnAUsedConnection(int status) throws Exception {
+    start(
+        request ->
+            Reply.keep(
+                request.position() == 1
+                    ? Request.anonymous(200, "")
+                    : Request.anonymous(status, "", ScriptedUpstreamStandin.NOT_EXECUTED)));
+    grant();
+
+    assertThat(grant()).isInstanceOf(OrderResult.Unanswered.class);
+    grant();
+    assertThat(upstream.requests()).extracting(Request::connection).containsExactly(1, 1, 2);
+  }
+
+  // Guards against holding keys back at an upstream that echoes no ids of orders.
+  @Test
+  void aRefusalWithoutAnIdCountsOnANewConnection() throws Exception {
+    start(request -> Reply.keep(Request.anonymous(409, "")));
+
+    assertThat(grant()).isInstanceOf(OrderResult.Fenced.class);
+  }
+
+  // Guards against a release that counts as done because of an extra answer to an earlier order.
+  @Test
+  void aReleaseIsNotAnsweredByAnExtraAnswerToAGrant() throws Exception {
+    start(
+        request ->
+            Reply.keep(
+                request.position() == 1 && request.path().endsWith("release")
+                    ? Request.anonymous(200, "", HANDOVER)
+                    : Request.anonymous(200, "")));
+    grant();
+
+    assertThat(release()).isEqualTo(new OrderResult.Done(Optional.of("5c0e7a21d94b36f8")));
+    assertThat(upstream.requests()).extracting(Request::connection).containsExactly(1, 2);
+  }
+
+  // Guards against a new connection, which is priced, for each renewal.
+  @Test
+  void renewalsUseTheSameConnectionWhetherOrNotIdsAreEchoed() throws Exception {
+    start(
+        request ->
+            Reply.keep(
+                request.position() % 2 == 0 ? request.echo(200, "") : Request.anonymous(200, "")));
+
+    for (int i = 0; i < 4; i++) {
+      assertThat(grant()).isInstanceOf(OrderResult.Done.class);
+    }
+    assertThat(upstream.requests()).extracting(Request::connection).containsOnly(1);
+  }
+
+  // Guards against answers that fit two orders.
+  @Test
+  void eachOrderHasAnIdOfItsOwn() throws Exception {
+    start(request -> Reply.keep(request.echo(200, "")));
+
+    for (int i = 0; i < 4; i++) {
+      grant();
+      release();
+    }
+
+    assertThat(upstream.requests()).hasSize(8).extracting(Request::attemptId).doesNotContain("");
+    assertThat(upstream.requests()).extracting(Request::attemptId).doesNotHaveDuplicates();
+  }
+
   private void start(Script script) throws IOException {
     upstream = ScriptedUpstreamStandin.start(script);
   }
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
@@ -2,8 +2,6 @@
 
 import dev.hornbeamwheel.core.host.catalog.Address;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
-import java.util.function.Predicate;
 
 /**
  * A request to be sent.
@@ -13,11 +11,11 @@
  * @param timeoutMillis how long to wait for the whole answer, in milliseconds
  * @param oldestIdleMillis time for which the connection to use must not have been idle yet, in
  *     milliseconds; zero for a new connection
- * @param belongs tells whether an answer belongs to the request; others are passed over
+ * @param matcher tells whether a response belongs to the request
  */
 public record Call(
     Address address,
     FullHttpRequest request,
     long timeoutMillis,
     long oldestIdleMillis,
-    Predicate<HttpResponse> belongs) {}
+    ResponseMatcher matcher) {}
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/CallConnection.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/CallConnection.java
@@ -171,12 +171,22 @@
       fail(new CallResult.Broken(reason));
     } else if (response.status().code() < 200) {
       response.release();
-    } else if (!call.belongs().test(response)) {
-      // An extra answer to an earlier request; ours is still to come.
-      response.release();
-      spoilt = true;
     } else {
-      complete(response);
+      receive(response);
+    }
+  }
+
+  private void receive(FullHttpResponse response) {
+    switch (call.matcher().match(response, used)) {
+      case ANSWERS -> complete(response);
+      case UNRELATED -> {
+        response.release();
+        spoilt = true;
+      }
+      default -> {
+        response.release();
+        fail(new CallResult.Broken("a response that may belong to an earlier call"));
+      }
     }
   }
 
