Take no answer without an attempt id on a reused connection for proof

What callers would see: 'not run, try again' (503) for a request that is running (REFUSED), or a request that may run once runs twice (TWICE). A faulty upstream sends an earlier refusal again, without an id, on a kept connection. CallerProtocol.matchesAttempt took any response without an id for the response to the request in progress, so the request was sent to an upstream again while it ran.

Upstreams echo the attempt id (PROTOCOL.md, "Backends"; "the ID identifies it"). So a response without one counts only on a new connection, where no response to an earlier request can arrive. On a reused connection it ends the attempt as one that may have run: the connection is reset, a request that may run once gets 502, which promises nothing, and others are retried within their budget. This holds for every status: an error of another request must not be forwarded either (MIXED). Requests without an id are matched as before; upstreams refuse them unrun.

Ruled out: refusals with another id, which were passed over before, too (DamagedAnswerTest, LATE).

--- a/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
@@ -15,7 +15,6 @@
 import dev.hornbeamwheel.wire.http.Call;
 import dev.hornbeamwheel.wire.http.CallResult;
 import dev.hornbeamwheel.wire.http.HttpCaller;
-import dev.hornbeamwheel.wire.http.ResponseMatch;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -310,10 +309,7 @@
             CallerProtocol.toUpstream(exchange.request(), send.upstream(), send.remainingMillis()),
             send.remainingMillis() + TIMEOUT_SLACK_MILLIS,
             send.idempotent() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS,
-            (response, reused) ->
-                CallerProtocol.matchesAttempt(exchange.attemptId(), response)
-                    ? ResponseMatch.ANSWERS
-                    : ResponseMatch.UNRELATED);
+            CallerProtocol.responseMatcher(exchange.attemptId()));
     exchange.attemptStarted(upstreams.call(call, result -> attemptEnded(exchange, result)));
   }
 
