Send a refused request again over another connection

What callers would see: 'not run, try again' for a request that runs (REFUSED), or a request that may run once runs twice (TWICE). A faulty upstream sends its refusal once more on a kept connection. A refused request of a keyed service goes to the same upstream again, with the same attempt id, and the connection of the refusal was the first to be reused: the repeated refusal bore the right id, answered the second attempt while it ran, and the request was sent a third time.

A request now remembers the connections that have carried it (UsedConnections), and HttpCaller passes over these. A response to an earlier attempt that comes late or twice thus finds no attempt of the same id on its connection. Weighed: a new connection for each repeated attempt is simpler, but new connections are priced; another kept one is as good. Remembering the attempts at the connection instead needs a bound and forgets.

RepeatedRefusalTest.aRepeatedRefusalIsNotTheResponseToTheResentAttempt (421, 429, 503): before, all three failed with three attempts and two runs in the place of two and one; now they pass. aResentAttemptUsesAnotherKeptConnection passed before and after: no new connection where another is kept. HttpCallerTest and AnswerLimitsTest build their calls with Call.once; their checks are the same.

--- a/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
@@ -309,7 +309,8 @@
             CallerProtocol.toUpstream(exchange.request(), send.upstream(), send.remainingMillis()),
             send.remainingMillis() + TIMEOUT_SLACK_MILLIS,
             send.idempotent() ? REPEATABLE_MAX_IDLE_MILLIS : NON_REPEATABLE_MAX_IDLE_MILLIS,
-            CallerProtocol.responseMatcher(exchange.attemptId()));
+            CallerProtocol.responseMatcher(exchange.attemptId()),
+            exchange.upstreamConnections());
     exchange.attemptStarted(upstreams.call(call, result -> attemptEnded(exchange, result)));
   }
 
--- a/host/src/main/java/dev/hornbeamwheel/host/Exchange.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/Exchange.java
@@ -2,6 +2,7 @@
 
 import dev.hornbeamwheel.core.host.request.RequestRef;
 import dev.hornbeamwheel.wire.http.CallHandle;
+import dev.hornbeamwheel.wire.http.UsedConnections;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 
@@ -12,6 +13,7 @@
   private final FullHttpRequest request;
   private final String attemptId;
   private final boolean keepAlive;
+  private final UsedConnections upstreamConnections = UsedConnections.none();
   private CallHandle attempt;
   private FullHttpResponse upstreamResponse;
   private FullHttpResponse callerResponse;
@@ -45,6 +47,11 @@
     return attemptId;
   }
 
+  /** Returns the connections to upstreams that have carried the request. */
+  UsedConnections upstreamConnections() {
+    return upstreamConnections;
+  }
+
   boolean keepAlive() {
     return keepAlive;
   }
--- a/host/src/test/java/dev/hornbeamwheel/host/AnswerLimitsTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/AnswerLimitsTest.java
@@ -120,7 +120,7 @@
         () -> {
           var unused =
               caller.call(
-                  new Call(address, request, CALL_TIMEOUT_MILLIS, 0, ResponseMatcher.inOrder()),
+                  Call.once(address, request, CALL_TIMEOUT_MILLIS, 0, ResponseMatcher.inOrder()),
                   result::complete);
         });
     return result;
--- a/host/src/test/java/dev/hornbeamwheel/host/RepeatedRefusalTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/RepeatedRefusalTest.java
@@ -10,9 +10,13 @@
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -54,6 +58,50 @@
     upstream.close();
   }
 
+  // Guards against a refusal that is sent once more where the resent attempt expects its response:
+  // the attempt runs, and is sent a third time or reported as not run.
+  @ParameterizedTest
+  @ValueSource(ints = {421, 429, 503})
+  void aRepeatedRefusalIsNotTheResponseToTheResentAttempt(int status) throws Exception {
+    Map<Integer, String> refusals = new ConcurrentHashMap<>();
+    AtomicInteger attempts = new AtomicInteger();
+    script =
+        request -> {
+          String refusal = request.echo(status, "", NOT_EXECUTED);
+          String repeated = refusals.getOrDefault(request.connection(), "");
+          if (attempts.incrementAndGet() == 1) {
+            refusals.put(request.connection(), refusal);
+            return Reply.keep(refusal);
+          }
+          return Reply.keep(repeated + run(request));
+        };
+
+    HttpResponse<String> response = site.lookup(0, KEY);
+
+    assertThat(response.statusCode()).isEqualTo(200);
+    assertThat(attempts).hasValue(2);
+    assertThat(runs).hasValue(1);
+  }
+
+  // Guards against a resent attempt that uses a new connection though it could use a kept one.
+  @Test
+  void aResentAttemptUsesAnotherKeptConnection() throws Exception {
+    keepTwoConnections();
+    AtomicInteger attempts = new AtomicInteger();
+    script =
+        request ->
+            Reply.keep(
+                attempts.incrementAndGet() == 1
+                    ? request.echo(503, "", NOT_EXECUTED)
+                    : run(request));
+    int before = connections();
+
+    assertThat(site.lookup(0, KEY).statusCode()).isEqualTo(200);
+
+    assertThat(attempts).hasValue(2);
+    assertThat(connections()).isEqualTo(before);
+  }
+
   // Guards against 'not run' for a request that runs, because of a refusal of an earlier request.
   @ParameterizedTest
   @ValueSource(ints = {421, 429, 503})
@@ -70,6 +118,40 @@
     assertThat(runs).hasValue(1);
   }
 
+  private void keepTwoConnections() throws Exception {
+    CountDownLatch both = new CountDownLatch(2);
+    script =
+        request -> {
+          both.countDown();
+          await(both);
+          return Reply.keep(run(request));
+        };
+    Thread other = new Thread(this::lookupQuietly);
+    other.start();
+    assertThat(site.lookup(0, KEY).statusCode()).isEqualTo(200);
+    other.join();
+  }
+
+  private void lookupQuietly() {
+    try {
+      site.lookup(0, KEY);
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private int connections() {
+    return upstream.requests().stream().mapToInt(Request::connection).max().orElse(0);
+  }
+
   private Reply reply(Request request) {
     return request.path().startsWith("/hornbeamwheel/")
         ? Reply.keep(request.echo(200, ""))
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
@@ -12,10 +12,23 @@
  * @param oldestIdleMillis time for which the connection to use must not have been idle yet, in
  *     milliseconds; zero for a new connection
  * @param matcher tells whether a response belongs to the request
+ * @param usedConnections connections that the request must not use; its own is added
  */
 public record Call(
     Address address,
     FullHttpRequest request,
     long timeoutMillis,
     long oldestIdleMillis,
-    ResponseMatcher matcher) {}
+    ResponseMatcher matcher,
+    UsedConnections usedConnections) {
+  /** Returns a call whose request is sent once only. */
+  public static Call once(
+      Address address,
+      FullHttpRequest request,
+      long timeoutMillis,
+      long oldestIdleMillis,
+      ResponseMatcher matcher) {
+    return new Call(
+        address, request, timeoutMillis, oldestIdleMillis, matcher, UsedConnections.none());
+  }
+}
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/HttpCaller.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/HttpCaller.java
@@ -18,6 +18,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -67,6 +68,7 @@
   public CallHandle call(Call call, Consumer<CallResult> result) {
     CallConnection kept = takeIdle(call);
     if (kept != null) {
+      call.usedConnections().add(kept);
       kept.start(call, result);
       return kept::abort;
     }
@@ -117,15 +119,16 @@
       return null;
     }
     long now = clock.millis();
-    while (!connections.isEmpty()) {
-      CallConnection connection = connections.peekFirst();
+    for (Iterator<CallConnection> each = connections.iterator(); each.hasNext(); ) {
+      CallConnection connection = each.next();
       if (!connection.usable(now)) {
-        connections.removeFirst();
+        each.remove();
         connection.close();
       } else if (connection.idleFor(now) >= call.oldestIdleMillis()) {
         return null;
-      } else {
-        return connections.removeFirst();
+      } else if (!call.usedConnections().contains(connection)) {
+        each.remove();
+        return connection;
       }
     }
     return null;
@@ -133,6 +136,7 @@
 
   private CallHandle connect(Call call, Consumer<CallResult> result) {
     CallConnection connection = new CallConnection(this, clock, call.address(), limits, incoming);
+    call.usedConnections().add(connection);
     Bootstrap bootstrap = new Bootstrap();
     Channels.addKeepAlive(bootstrap);
     ChannelFuture connecting =
--- a/wire/src/test/java/dev/hornbeamwheel/wire/http/HttpCallerTest.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/http/HttpCallerTest.java
@@ -58,7 +58,7 @@
           () -> {
             var unused =
                 caller.call(
-                    new Call(address, request, TIMEOUT_MILLIS, 0, ResponseMatcher.inOrder()),
+                    Call.once(address, request, TIMEOUT_MILLIS, 0, ResponseMatcher.inOrder()),
                     result::complete);
             loop.execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(BUSY_MILLIS)));
           });
@@ -94,7 +94,7 @@
     FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
     var unused =
         caller.call(
-            new Call(
+            Call.once(
                 address,
                 request,
                 TimeUnit.SECONDS.toMillis(WAIT_SECONDS),
