Do not forward a promise that the upstream did not give

What callers would see: 408, 429 or 503, which promise 'not run', for a request that its upstream ran (REFUSED), and a retry that runs it again. The host forwarded these statuses of an upstream also without X-Hornbeamwheel-Not-Executed.

So such a request gets 502 with an empty body. Requests that may be repeated get the upstream's response unchanged as before: the promise is not judged for them, and their callers retry in any case. A marked refusal and a 421 are retried or end in a 503 of our own as before.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/AttemptResult.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/AttemptResult.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.core.host.request;
 
 import dev.hornbeamwheel.core.host.slots.Completion;
+import java.util.Set;
 
 /**
  * The result of one attempt at an upstream.
@@ -11,8 +12,19 @@
  *     zero if unknown
  */
 public record AttemptResult(Completion completion, int status, int relativeWorkPercent) {
+  /** Statuses that tell a caller that its request has not run and never will. */
+  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
   /** Returns the result of an attempt that got no response. */
   public static AttemptResult withoutResponse(Completion completion) {
     return new AttemptResult(completion, 0, 0);
   }
+
+  /**
+   * Returns whether the status, forwarded to the caller, promises that the request has not run. The
+   * upstream promises it only by the completion.
+   */
+  boolean promisesNotRun() {
+    return NOT_RUN_STATUSES.contains(status);
+  }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
@@ -74,7 +74,12 @@
       Completion completion,
       long runMillis,
       int relativeWorkPercent)
-      implements RequestEffect {}
+      implements RequestEffect {
+    /** Releases a slot without having sent its request. */
+    static ReleaseSlot unused(long slotRequestNumber, UpstreamId upstream) {
+      return new ReleaseSlot(slotRequestNumber, upstream, Completion.CANCELLED, 0, 0);
+    }
+  }
 
   /** Reports a running request that holds a slot to a new coordinator. */
   record ReportHeldSlot(
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -155,14 +155,12 @@
     if (request == null
         || request.state != State.AWAITING_SLOT
         || request.slotRequestNumber != slotRequestNumber) {
-      effects.add(
-          new RequestEffect.ReleaseSlot(slotRequestNumber, upstream, Completion.CANCELLED, 0, 0));
+      effects.add(RequestEffect.ReleaseSlot.unused(slotRequestNumber, upstream));
       return drainEffects();
     }
     Optional<UpstreamRegistration> entry = catalog.upstream(upstream).filter(catalog::usable);
     if (entry.isEmpty()) {
-      effects.add(
-          new RequestEffect.ReleaseSlot(slotRequestNumber, upstream, Completion.CANCELLED, 0, 0));
+      effects.add(RequestEffect.ReleaseSlot.unused(slotRequestNumber, upstream));
       request.excludedUpstreams.add(upstream);
       retryNotRun(nowMillis, request, true);
       return drainEffects();
@@ -361,9 +359,7 @@
     if (nowMillis >= request.deadlineMillis) {
       // The event loop is delayed; otherwise tick would have ended the request already.
       if (request.decidedByCoordinator) {
-        effects.add(
-            new RequestEffect.ReleaseSlot(
-                request.slotRequestNumber, upstream.id(), Completion.CANCELLED, 0, 0));
+        effects.add(RequestEffect.ReleaseSlot.unused(request.slotRequestNumber, upstream.id()));
       }
       refuse(nowMillis, request, DEFAULT_RETRY_AFTER_MILLIS, "deadline passed before sending");
       return;
@@ -447,8 +443,12 @@
   }
 
   private void forwardResponse(long nowMillis, InFlightRequest request, AttemptResult result) {
-    effects.add(new RequestEffect.ForwardResponse(request.ref));
-    finish(nowMillis, request, "answered " + result.status());
+    if (result.promisesNotRun() && !request.idempotent()) {
+      respondWithError(nowMillis, request, ErrorResponse.UPSTREAM_FAILED, 0, "may have run");
+    } else {
+      effects.add(new RequestEffect.ForwardResponse(request.ref));
+      finish(nowMillis, request, "answered " + result.status());
+    }
   }
 
   /**
--- a/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
@@ -20,7 +20,9 @@
 import java.util.List;
 import java.util.OptionalInt;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 
 /** Each request gets one final response, which reports correctly whether it may have run. */
@@ -160,6 +162,27 @@
         .isLessThanOrEqualTo(1);
   }
 
+  // Guards against the promise 'not run' for a request that its upstream does not call not run.
+  @Property(tries = 400, seed = "2026120502", generation = GenerationMode.EXHAUSTIVE)
+  void aStatusThatPromisesNotRunIsForwardedOnlyIfTheRequestMayBeRepeated(
+      @ForAll @IntRange(min = 400, max = 599) int status, @ForAll boolean idempotent) {
+    RequestFlowTest fresh = new RequestFlowTest();
+    fresh.configure();
+    RequestRef ref = fresh.sendRequest(1, idempotent ? "/lookup/1" : "/order/1");
+
+    fresh.collect(
+        fresh.flow.attemptEnded(10, ref, new AttemptResult(Completion.SERVED, status, 0)));
+
+    boolean promise = status == 408 || status == 421 || status == 429 || status == 503;
+    if (promise && !idempotent) {
+      assertThat(fresh.effectsOf(RequestEffect.RespondWithError.class))
+          .extracting(RequestEffect.RespondWithError::error)
+          .containsExactly(ErrorResponse.UPSTREAM_FAILED);
+    } else {
+      assertThat(fresh.effectsOf(RequestEffect.ForwardResponse.class)).hasSize(1);
+    }
+  }
+
   @Test
   void anIdempotentRequestWithABrokenResponseIsRetriedAtAnotherUpstream() {
     configure();
--- a/host/src/test/java/dev/hornbeamwheel/host/RepeatedRefusalTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/RepeatedRefusalTest.java
@@ -118,6 +118,24 @@
     assertThat(runs).hasValue(1);
   }
 
+  // Guards against the promise 'not run' for a request that its upstream does not call not run.
+  @ParameterizedTest
+  @ValueSource(ints = {408, 429, 503})
+  void aStatusThatPromisesNotRunIsReplacedIfTheUpstreamDoesNotSaySo(int status) throws Exception {
+    script =
+        request -> {
+          runs.incrementAndGet();
+          return Reply.keep(request.echo(status, "late", ScriptedUpstreamStandin.SIGNATURE));
+        };
+
+    HttpResponse<String> response = site.lookup(0, KEY);
+
+    assertThat(response.statusCode()).isEqualTo(502);
+    assertThat(response.body()).isEmpty();
+    assertThat(response.headers().firstValue("X-Hornbeamwheel-Response-Signature")).isEmpty();
+    assertThat(runs).hasValue(1);
+  }
+
   private void keepTwoConnections() throws Exception {
     CountDownLatch both = new CountDownLatch(2);
     script =
