--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
@@ -2,8 +2,6 @@
 
 import dev.hornbeamwheel.core.host.catalog.Address;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
-import java.util.function.Predicate;
 
 /**
  * A request to be sent.
@@ -11,13 +9,26 @@
  * @param address where to
  * @param request the request; released by the client
  * @param timeoutMillis how long to wait for the whole answer, in milliseconds
- * @param oldestIdleMillis longest time that the connection to use may have been idle, in
+ * @param oldestIdleMillis time for which the connection to use must not have been idle yet, in
  *     milliseconds; zero for a new connection
- * @param belongs tells whether an answer belongs to the request; others are passed over
+ * @param matcher tells whether a response belongs to the request
+ * @param usedConnections connections that the request must not use; its own is added
  */
 public record Call(
     Address address,
     FullHttpRequest request,
     long timeoutMillis,
     long oldestIdleMillis,
-    Predicate<HttpResponse> belongs) {}
+    ResponseMatcher matcher,
+    UsedConnections usedConnections) {
+  /** Returns a call whose request is sent once only. */
+  public static Call once(
+      Address address,
+      FullHttpRequest request,
+      long timeoutMillis,
+      long oldestIdleMillis,
+      ResponseMatcher matcher) {
+    return new Call(
+        address, request, timeoutMillis, oldestIdleMillis, matcher, UsedConnections.none());
+  }
+}
