--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
@@ -202,6 +202,14 @@
     return unansweredExpiryMillis;
   }
 
+  /**
+   * Returns whether the answer to a release that is sent now ends all grants: no grant of an
+   * earlier coordinator may still arrive, and no unanswered grant may still be carried out.
+   */
+  boolean releaseEndsAllGrants(long nowMillis) {
+    return nowMillis > inheritedArrivalMillis && nowMillis > unansweredExpiryMillis;
+  }
+
   /** Describes the grants for a log line, with times relative to now. */
   String describe(long nowMillis) {
     return "answered grants expire by "
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -1,7 +1,6 @@
 package dev.hornbeamwheel.core.host.slots;
 
 import dev.hornbeamwheel.core.host.catalog.Catalog;
-import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
@@ -23,39 +22,15 @@
  * immediately, with a retry delay after which a slot is expected to be free.
  */
 public final class SlotBroker {
-  /** Cost of serving a request from another data centre, in milliseconds of run time. */
-  private static final double REMOTE_PENALTY_MILLIS = 8;
-
-  /** Cost of serving a large response from another data centre, in milliseconds of run time. */
-  private static final double REMOTE_LARGE_PENALTY_MILLIS = 120;
-
-  /** Minimum retry delay of a refused request, in milliseconds. */
-  private static final long MIN_RETRY_AFTER_MILLIS = 40;
-
-  /** The retry delay is at most the time until the request's deadline divided by this. */
-  private static final int RETRY_AFTER_DIVISOR = 3;
-
-  /** Fraction of the mean run time that must remain before the deadline when a request starts. */
-  private static final double MIN_RUN_FRACTION = 0.7;
-
-  /** Fraction of the later requests that overtake a request which cannot meet its target. */
-  private static final double OVERTAKING_FRACTION = 0.8;
-
-  /** Utilization of a service above which hot keys cannot be moved to less loaded upstreams. */
-  private static final double SATURATION_UTILIZATION = 0.7;
-
-  /** Throughput up to which no request is expected to start, in requests per second. */
-  private static final double MIN_THROUGHPUT_PER_SECOND = 0.1;
-
   /** The time at which the backoff of an upstream ends. */
   private record BackoffEnd(long atMillis, UpstreamId upstream) {}
 
   private final Catalog catalog;
   private final KeyLookup keyLookup;
-  private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
+  private final UpstreamLoads loads;
+  private final StartEstimator estimator;
   private final Map<SlotRequestId, UpstreamId> upstreamsInUse = new HashMap<>();
   private final Map<ServiceId, ServiceQueue> queues = new HashMap<>();
-  private final Map<ServiceId, ServiceRate> rates = new HashMap<>();
   private final PriorityQueue<BackoffEnd> backoffEnds =
       new PriorityQueue<>(Comparator.comparingLong(BackoffEnd::atMillis));
   private final List<SlotEffect> effects = new ArrayList<>();
@@ -63,6 +38,8 @@
   private SlotBroker(Catalog catalog, KeyLookup keyLookup) {
     this.catalog = catalog;
     this.keyLookup = keyLookup;
+    this.loads = new UpstreamLoads(catalog, service -> queue(service).meanRunMillis());
+    this.estimator = new StartEstimator(catalog, keyLookup, loads);
   }
 
   /** Returns a broker without slot requests. */
@@ -115,13 +92,14 @@
       long runMillis,
       int relativeWorkPercent) {
     Optional<UpstreamRegistration> entry = catalog.upstream(upstream);
-    UpstreamLoad load = loads.get(upstream);
-    if (load == null) {
+    Optional<UpstreamLoad> known = loads.find(upstream);
+    if (known.isEmpty()) {
       return drainEffects();
     }
+    UpstreamLoad load = known.get();
     load.recordEnd(nowMillis, requestId, completion, runMillis, relativeWorkPercent);
     upstreamsInUse.remove(requestId, upstream);
-    entry.ifPresent(present -> updateRate(nowMillis, present));
+    entry.ifPresent(present -> loads.updateRate(nowMillis, present));
     if (load.backoffUntilMillis() > nowMillis) {
       backoffEnds.add(new BackoffEnd(load.backoffUntilMillis(), upstream));
     }
@@ -152,13 +130,13 @@
   }
 
   private void occupySlot(long nowMillis, SlotRequestId requestId, UpstreamRegistration entry) {
-    load(entry).recordStart(nowMillis, requestId, entry.cold(nowMillis));
+    loads.recordStart(nowMillis, requestId, entry);
     upstreamsInUse.put(requestId, entry.id());
   }
 
   /** Removes all slot requests of a host whose connection ended, and releases their slots. */
   public List<SlotEffect> hostDisconnected(long nowMillis, LinkId link) {
-    loads.values().forEach(load -> load.removeAll(link));
+    loads.removeAll(link);
     upstreamsInUse.keySet().removeIf(requestId -> requestId.link().equals(link));
     queues.values().forEach(queue -> queue.removeAll(link));
     return grantAllSlots(nowMillis);
@@ -169,11 +147,10 @@
    * served before their deadline.
    */
   public List<SlotEffect> tick(long nowMillis) {
-    if (loads.keySet().removeIf(id -> catalog.upstream(id).isEmpty())) {
-      upstreamsInUse.values().removeIf(id -> !loads.containsKey(id));
+    if (loads.removeUnregistered()) {
+      upstreamsInUse.values().removeIf(id -> loads.find(id).isEmpty());
     }
-    // Recomputes the rates, since upstreams warm up and updated sums accumulate rounding errors.
-    rates.clear();
+    loads.resetRates();
     queues.values().forEach(queue -> queue.removeUpstreams(id -> catalog.upstream(id).isEmpty()));
     List.copyOf(queues.keySet())
         .forEach(
@@ -187,11 +164,7 @@
 
   /** Returns the throughput of an upstream, in requests per second. */
   public double requestsPerSecond(long nowMillis, UpstreamRegistration entry) {
-    UpstreamLoad load = load(entry);
-    double successRate = Math.max(0.1, 1 - load.failureRate());
-    double warmPerSecond = entry.slots() * 1_000 / Math.max(1, load.meanRunMillis()) * successRate;
-    double coldLimit = entry.cold(nowMillis) ? coldPerSecond(entry.service()) : 0;
-    return coldLimit > 0 ? Math.min(warmPerSecond, coldLimit) : warmPerSecond;
+    return loads.requestsPerSecond(nowMillis, entry);
   }
 
   /** Returns the number of slot requests of a service that wait. */
@@ -219,7 +192,7 @@
   private void grantSlots(long nowMillis, ServiceId service, Optional<UpstreamId> keyOwner) {
     ServiceQueue queue = queue(service);
     if (!queue.hasWaiting(keyOwner)
-        || keyOwner.filter(id -> !canStart(nowMillis, id)).isPresent()) {
+        || keyOwner.filter(id -> !loads.canStart(nowMillis, id)).isPresent()) {
       return;
     }
     grantSlots(nowMillis, queue.inServiceOrder(nowMillis, keyOwner));
@@ -231,7 +204,7 @@
       if (request.key().isPresent()) {
         availableHolder(nowMillis, request).ifPresent(entry -> grant(nowMillis, request, entry));
       } else if (!full) {
-        Optional<UpstreamRegistration> selected = cheapestUpstream(nowMillis, request);
+        Optional<UpstreamRegistration> selected = loads.cheapest(nowMillis, request);
         selected.ifPresent(entry -> grant(nowMillis, request, entry));
         full = selected.isEmpty() && request.excludedUpstreams().isEmpty();
       }
@@ -248,49 +221,16 @@
   }
 
   private void grantAfterBackoff(long nowMillis, UpstreamRegistration entry) {
-    updateRate(nowMillis, entry);
+    loads.updateRate(nowMillis, entry);
     grantSlots(nowMillis, entry);
   }
 
-  private Optional<UpstreamRegistration> cheapestUpstream(long nowMillis, SlotRequest request) {
-    UpstreamRegistration cheapest = null;
-    double lowestCost = Double.POSITIVE_INFINITY;
-    for (UpstreamRegistration entry : catalog.usable(request.service())) {
-      if (!request.excludedUpstreams().contains(entry.id()) && canStart(nowMillis, entry)) {
-        double cost = cost(nowMillis, request, entry);
-        if (cost < lowestCost) {
-          cheapest = entry;
-          lowestCost = cost;
-        }
-      }
-    }
-    return Optional.ofNullable(cheapest);
-  }
-
   private Optional<UpstreamRegistration> availableHolder(long nowMillis, SlotRequest request) {
     return keyLookup
         .holder(nowMillis, request.service(), request.key().orElseThrow())
         .filter(holder -> !request.excludedUpstreams().contains(holder))
         .flatMap(catalog::upstream)
-        .filter(entry -> catalog.usable(entry) && canStart(nowMillis, entry));
-  }
-
-  private boolean canStart(long nowMillis, UpstreamId upstream) {
-    return catalog.upstream(upstream).filter(entry -> canStart(nowMillis, entry)).isPresent();
-  }
-
-  private boolean canStart(long nowMillis, UpstreamRegistration entry) {
-    boolean cold = entry.cold(nowMillis);
-    double coldPerSecond = cold ? coldPerSecond(entry.service()) : 0;
-    return load(entry).canStart(nowMillis, entry.slots(), cold, coldPerSecond);
-  }
-
-  private double cost(long nowMillis, SlotRequest request, UpstreamRegistration entry) {
-    double remotePenalty =
-        request.largeResponse() ? REMOTE_LARGE_PENALTY_MILLIS : REMOTE_PENALTY_MILLIS;
-    double distanceCost = entry.dataCentre().equals(request.dataCentre()) ? 0 : remotePenalty;
-    UpstreamLoad load = load(entry);
-    return load.expectedRunMillis(nowMillis) * (1 + 4 * load.failureRate()) + distanceCost;
+        .filter(entry -> catalog.usable(entry) && loads.canStart(nowMillis, entry));
   }
 
   private void grant(long nowMillis, SlotRequest request, UpstreamRegistration entry) {
@@ -316,7 +256,7 @@
   }
 
   private Backlog backlog(long nowMillis, ServiceId service) {
-    return new Backlog(isSaturated(nowMillis, service));
+    return new Backlog(estimator.isSaturated(nowMillis, service, queue(service)));
   }
 
   private boolean refuseIfMissesDeadline(
@@ -325,29 +265,23 @@
       SlotRequest request,
       Optional<UpstreamId> keyOwner,
       Backlog backlog) {
-    long startMillis = expectedStartMillis(nowMillis, queue, request, keyOwner, backlog);
-    boolean missesDeadline =
-        startMillis + queue.meanRunMillis() * MIN_RUN_FRACTION > request.deadlineMillis();
+    long startMillis = estimator.startMillis(nowMillis, queue, request, keyOwner, backlog);
+    boolean missesDeadline = StartEstimator.missesDeadline(queue, request, startMillis);
     if (missesDeadline) {
-      refuse(nowMillis, queue, request, startMillis);
+      refuse(nowMillis, queue, request, keyOwner, startMillis);
     }
     return missesDeadline;
   }
 
-  private void refuse(long nowMillis, ServiceQueue queue, SlotRequest request, long startMillis) {
+  private void refuse(
+      long nowMillis,
+      ServiceQueue queue,
+      SlotRequest request,
+      Optional<UpstreamId> keyOwner,
+      long startMillis) {
     queue.remove(request.id());
-    double gapMillis = 1_000 / Math.max(0.5, throughput(nowMillis, request));
-    long maxRetryAfterMillis =
-        Math.max(0, request.deadlineMillis() - nowMillis) / RETRY_AFTER_DIVISOR;
-    long readyMillis = request.key().isEmpty() ? nowMillis : ownerReadyMillis(nowMillis, request);
-    long halfwayMillis = nowMillis + Math.min(startMillis - nowMillis, maxRetryAfterMillis) / 2;
-    long earliestMillis =
-        Math.max(halfwayMillis, Math.min(readyMillis, nowMillis + maxRetryAfterMillis));
-    long returnAfterMillis =
-        queue.reserveRetryMillis(nowMillis, keyOwner(request), earliestMillis, gapMillis)
-            - nowMillis;
     long retryAfterMillis =
-        Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(returnAfterMillis, maxRetryAfterMillis));
+        estimator.reserveRetryAfterMillis(nowMillis, queue, request, keyOwner, startMillis);
     String reason =
         request.key().isPresent()
             ? "the key's owner has no room"
@@ -355,49 +289,6 @@
     effects.add(new SlotEffect.Refuse(request.id(), retryAfterMillis, reason));
   }
 
-  /** Returns the time at which a request behind a backlog is expected to get a slot. */
-  private long expectedStartMillis(
-      long nowMillis,
-      ServiceQueue queue,
-      SlotRequest request,
-      Optional<UpstreamId> keyOwner,
-      Backlog backlog) {
-    double throughput = throughput(nowMillis, request);
-    long startMillis = startAfterMillis(nowMillis, backlog.ahead(keyOwner), throughput);
-    boolean offloadable = request.key().isPresent() && !backlog.serviceSaturated();
-    if (!queue.canMeetTarget(request, startMillis) && !offloadable) {
-      // Later requests that can meet their target take precedence over this one.
-      double overtakingPerSecond =
-          OVERTAKING_FRACTION * queue.arrivalsPerSecond(nowMillis, keyOwner);
-      startMillis =
-          startAfterMillis(nowMillis, backlog.ahead(keyOwner), throughput - overtakingPerSecond);
-    }
-    return request.key().isEmpty()
-        ? startMillis
-        : Math.max(startMillis, ownerReadyMillis(nowMillis, request));
-  }
-
-  /** Returns whether the request rate of a service is close to the throughput of its upstreams. */
-  private boolean isSaturated(long nowMillis, ServiceId service) {
-    return queue(service).arrivalsPerSecond(nowMillis)
-        > SATURATION_UTILIZATION * throughput(nowMillis, service);
-  }
-
-  private static long startAfterMillis(long nowMillis, int ahead, double perSecond) {
-    return perSecond <= MIN_THROUGHPUT_PER_SECOND
-        ? Long.MAX_VALUE / 4
-        : nowMillis + Math.round((ahead + 0.5) * 1_000 / perSecond);
-  }
-
-  private long ownerReadyMillis(long nowMillis, SlotRequest request) {
-    long holderReadyMillis =
-        keyLookup.readyMillis(nowMillis, request.service(), request.key().orElseThrow());
-    return keyOwner(request)
-        .map(loads::get)
-        .map(load -> Math.max(holderReadyMillis, load.backoffUntilMillis()))
-        .orElse(holderReadyMillis);
-  }
-
   /**
    * Returns the owner of a request's key, which is the only upstream that can serve it; empty for a
    * request without a key and for an unknown owner.
@@ -408,55 +299,6 @@
         : keyLookup.owner(request.service(), request.key().getAsInt());
   }
 
-  /**
-   * Returns the throughput available to a request and its competitors, in requests per second: that
-   * of the key owner, or that of the whole service for a request without a key.
-   */
-  private double throughput(long nowMillis, SlotRequest request) {
-    if (request.key().isPresent()) {
-      return keyOwner(request)
-          .flatMap(catalog::upstream)
-          .map(entry -> requestsPerSecond(nowMillis, entry))
-          .orElseGet(() -> 2_000 / queue(request.service()).meanRunMillis());
-    }
-    return throughput(nowMillis, request.service());
-  }
-
-  private double throughput(long nowMillis, ServiceId service) {
-    List<UpstreamRegistration> usable = catalog.usable(service);
-    ServiceRate rate = rates.get(service);
-    if (rate == null || !rate.covers(usable)) {
-      rate = ServiceRate.of(usable, entry -> currentRate(nowMillis, entry));
-      rates.put(service, rate);
-    }
-    return rate.perSecond();
-  }
-
-  private void updateRate(long nowMillis, UpstreamRegistration entry) {
-    ServiceRate rate = rates.get(entry.service());
-    if (rate != null) {
-      rate.update(entry.id(), currentRate(nowMillis, entry));
-    }
-  }
-
-  private double currentRate(long nowMillis, UpstreamRegistration entry) {
-    boolean inBackoff = nowMillis < load(entry).backoffUntilMillis();
-    return inBackoff ? 0 : requestsPerSecond(nowMillis, entry);
-  }
-
-  private double coldPerSecond(ServiceId service) {
-    return catalog
-        .configuration()
-        .flatMap(configuration -> configuration.service(service))
-        .map(ServiceSpec::coldRequestsPerSecond)
-        .orElse(0.0);
-  }
-
-  private UpstreamLoad load(UpstreamRegistration entry) {
-    return loads.computeIfAbsent(
-        entry.id(), id -> new UpstreamLoad(queue(entry.service()).meanRunMillis()));
-  }
-
   private ServiceQueue queue(ServiceId service) {
     return queues.computeIfAbsent(service, id -> new ServiceQueue());
   }
