--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OrderResult.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OrderResult.java
@@ -24,8 +24,7 @@
   record NotSent(String reason) implements OrderResult {}
 
   /**
-   * No answer arrived that tells what the upstream did; the order may have been carried out or may
-   * still be carried out.
+   * No conclusive answer arrived; the order may have been carried out or may still be carried out.
    */
   record Unanswered(String reason) implements OrderResult {}
 }
--- a/host/src/test/java/dev/hornbeamwheel/host/CutHead.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/CutHead.java
@@ -10,14 +10,14 @@
 /**
  * A way in which a successful response stops within its head.
  *
- * @param framing how the response tells where its body ends
+ * @param framing how the response marks the end of its body
  * @param ending how its connection ends
  * @param reused whether the connection has carried a whole response before
  */
 record CutHead(Framing framing, Ending ending, boolean reused) {
   private static final String BODY = "booked";
 
-  /** How a response tells where its body ends. */
+  /** How a response marks the end of its body. */
   enum Framing {
     LENGTH("Content-Length: " + BODY.length()),
     EMPTY("Content-Length: 0"),
--- a/host/src/test/java/dev/hornbeamwheel/host/RepeatedRefusalTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/RepeatedRefusalTest.java
@@ -132,7 +132,7 @@
 
     assertThat(response.statusCode()).isEqualTo(502);
     assertThat(response.body()).isEmpty();
-    assertThat(response.headers().firstValue("X-Hornbeamwheel-Response-Signature")).isEmpty();
+    assertThat(response.headers().firstValue(ScriptedUpstreamStandin.SIGNATURE_HEADER)).isEmpty();
     assertThat(runs).hasValue(1);
   }
 
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/ScriptedUpstreamStandin.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/ScriptedUpstreamStandin.java
@@ -19,9 +19,11 @@
   /** Header line of a response that states that nothing was done. */
   public static final String NOT_EXECUTED = "X-Hornbeamwheel-Not-Executed: 1";
 
+  /** Header that a successful response must have. */
+  public static final String SIGNATURE_HEADER = "X-Hornbeamwheel-Response-Signature";
+
   /** Header line of a response that counts as a success. */
-  public static final String SIGNATURE =
-      "X-Hornbeamwheel-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1";
+  public static final String SIGNATURE = SIGNATURE_HEADER + ": 3e1b.07.5a2.600.0.c9f2a4d1";
 
   private static final int BACKLOG = 200;
 
@@ -171,7 +173,7 @@
         }
       }
     } catch (IOException e) {
-      // The other side has gone; there is nobody to answer.
+      // The caller has closed the connection.
       open.remove(socket);
     }
   }
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/Call.java
@@ -11,7 +11,7 @@
  * @param timeoutMillis how long to wait for the whole answer, in milliseconds
  * @param oldestIdleMillis time for which the connection to use must not have been idle yet, in
  *     milliseconds; zero for a new connection
- * @param matcher tells whether a response belongs to the request
+ * @param matcher decides whether a response belongs to the request
  * @param usedConnections connections that the request must not use; its own is added
  */
 public record Call(
