--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
@@ -27,8 +27,8 @@
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
-  /** Every expiry of a grant is later; {@link #NEVER} is earlier even if it is postponed. */
-  private static final long EVER = NEVER / 2;
+  /** All expiries of grants are later; {@link #NEVER} is earlier, even if it is postponed. */
+  private static final long EARLIEST_EXPIRY_MILLIS = NEVER / 2;
 
   /**
    * A grant that has not been answered yet.
@@ -222,7 +222,9 @@
   }
 
   private static String fromNow(long nowMillis, long timeMillis) {
-    return timeMillis < EVER ? "never" : String.format("%+d ms", timeMillis - nowMillis);
+    return timeMillis < EARLIEST_EXPIRY_MILLIS
+        ? "never"
+        : String.format("%+d ms", timeMillis - nowMillis);
   }
 
   private static long withClockDrift(long holdMillis) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/MovePlan.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/MovePlan.java
@@ -19,8 +19,8 @@
   /**
    * Returns the moves to make.
    *
-   * <p>Keys leave an owner that serves them only if its grants were all answered: otherwise they
-   * would wait for the expiry of the unanswered ones, because a release does not end those.
+   * <p>Keys leave an owner that serves them only once the answer to a release ends all its grants;
+   * otherwise they would have no holder while the remaining grants arrive or expire.
    *
    * @param eligible upstreams that may own keys
    */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/ProposedTables.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/ProposedTables.java
@@ -24,7 +24,7 @@
   }
 
   /**
-   * Takes note that the stored table has changed, so that no other proposal can take effect.
+   * Records that the stored table has changed, so that no other proposal can take effect.
    *
    * @return the ranges of the new table in their current state; empty if it was not proposed here
    */
--- a/wire/src/main/java/dev/hornbeamwheel/wire/http/ResponseMatcher.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/http/ResponseMatcher.java
@@ -3,7 +3,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
- * Tells whether a response belongs to a call.
+ * Decides whether a response belongs to a call.
  *
  * <p>A server that sends a response once more, or too late, sends it where the response to the next
  * call is expected. Only on a new connection is every response certainly one to the call.
