Send changes of the store's tables to the hosts over their links

Calls and bytes grew with hosts times changes.

Cause: every host followed both tables by a feed of its own.

Now the coordinator sends what it reads, and hosts judge each message by the versions between which it is complete (TableFollower); a host reads the store itself at its start, while its link is silent, while a change is missing, and once in 20 s to check.

Tests: TableFollowerTest fuzzes two lagging coordinators, lost messages and reads of the store against the store's history; TableWatcherTest counts calls while changes come over the link, and fails on the former code as every change was a call; TablePublisherTest; HostMessageMappingTest.

--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/catalog/TableFollower.java
@@ -0,0 +1,67 @@
+package dev.hornbeamwheel.core.host.catalog;
+
+import java.util.List;
+
+/**
+ * Decides whether a host follows a table in the store or through the coordinator.
+ *
+ * <p>The host knows the whole table as of one version, whichever source the changes came from. It
+ * takes over changes of the coordinator that begin at that version or before, and leaves out those
+ * rows that it knows already, so that a coordinator which lags behind never brings back an earlier
+ * row. While a change is missing in between, or the coordinator is not heard, the host reads the
+ * store.
+ */
+public final class TableFollower {
+  private static final long UNKNOWN = Long.MAX_VALUE;
+
+  private long version = -1;
+
+  /** Version up to which the coordinator has sent the changes. */
+  private long coordinatorVersion = UNKNOWN;
+
+  private boolean coordinatorHeard;
+
+  private TableFollower() {}
+
+  /** Returns a follower that knows nothing of the table yet. */
+  public static TableFollower create() {
+    return new TableFollower();
+  }
+
+  /** Returns the version as of which the table is known; negative before the first read. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns whether the host has to read the changes from the store now. */
+  public boolean readsStore() {
+    return !coordinatorHeard || version < coordinatorVersion;
+  }
+
+  /** Records that the table was read from the store as of a version. */
+  public void storeRead(long readVersion) {
+    version = Math.max(version, readVersion);
+  }
+
+  /** Records that the coordinator is heard from now on; its first message names its version. */
+  public void coordinatorHeard() {
+    coordinatorHeard = true;
+    coordinatorVersion = UNKNOWN;
+  }
+
+  /** Records that the coordinator is not heard any more. */
+  public void coordinatorLost() {
+    coordinatorHeard = false;
+  }
+
+  /** Takes over changes from the coordinator; returns the rows to apply, in order. */
+  public List<StoredRow> coordinatorSent(TableChanges changes) {
+    coordinatorVersion = changes.version();
+    if (version < changes.afterVersion()) {
+      return List.of();
+    }
+    long known = version;
+    version = Math.max(version, changes.version());
+    return changes.rows().stream().filter(row -> row.version() > known).toList();
+  }
+}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -3,6 +3,7 @@
 import dev.hornbeamwheel.core.host.catalog.Catalog;
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
 import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.host.catalog.TableChanges;
 import dev.hornbeamwheel.core.host.keys.KeyDemand;
 import dev.hornbeamwheel.core.host.keys.KeyEffect;
 import dev.hornbeamwheel.core.host.keys.KeyedService;
@@ -46,6 +47,7 @@
   private final Map<ServiceId, KeyDemand> keyDemands = new HashMap<>();
   private final Map<ServiceId, KeyMapPublisher> keyMapPublishers = new HashMap<>();
   private final Map<ServiceId, Long> publishedRevisions = new HashMap<>();
+  private final TablePublisher tablePublisher = new TablePublisher(this::sendToHost);
   private final List<HostEffect> pendingEffects = new ArrayList<>();
   private final long termStartMillis;
   private boolean handedOver;
@@ -93,6 +95,9 @@
       connectedHosts.add(now, link, hello);
       keyMapPublishers.values().forEach(publisher -> publisher.addHost(link));
       sendToHost(link, heartbeat(true));
+      if (!link.equals(HostNode.LOCAL_LINK)) {
+        tablePublisher.hostConnected(link);
+      }
     } else if (message instanceof HostMessage.SlotRequest request) {
       slotRequests++;
       sendSlotEffects(broker.requestSlot(now, toBrokerRequest(now, link, request)));
@@ -148,6 +153,12 @@
     keyedServices.values().forEach(keyedService -> keyedService.clockAdvanced(millis));
   }
 
+  /** Sends changes of a table, which this host has read from the store, to all other hosts. */
+  List<HostEffect> tableChangesRead(TableChanges changes) {
+    tablePublisher.publish(changes, connectedHosts.links());
+    return drain();
+  }
+
   /** Handles a change of the upstreams, the evacuated data centres or the configuration. */
   void catalogChanged() {
     keyedServices.values().forEach(KeyedService::upstreamsChanged);
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEffect.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.core.host.node;
 
 import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.catalog.TableChanges;
 import dev.hornbeamwheel.core.host.keys.KeyEffect;
 import dev.hornbeamwheel.core.host.lease.LeaseEffect;
 import dev.hornbeamwheel.core.host.log.LogEntry;
@@ -60,6 +61,14 @@
     }
   }
 
+  /**
+   * Rely on the coordinator for changes of the store's tables, or read them from the store again.
+   */
+  record FollowCoordinator(boolean heard) implements HostEffect {}
+
+  /** Take over changes of a table that the coordinator has sent. */
+  record TakeOverChanges(TableChanges changes) implements HostEffect {}
+
   /** Write a log entry. */
   record Log(LogEntry entry) implements HostEffect {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
@@ -2,6 +2,7 @@
 
 import dev.hornbeamwheel.core.TimedEvent;
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
+import dev.hornbeamwheel.core.host.catalog.TableChanges;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
 import dev.hornbeamwheel.core.host.keys.OrderResult;
 import dev.hornbeamwheel.core.host.keys.TableReadResult;
@@ -59,6 +60,9 @@
   /** The store answers again after an outage. */
   record StoreReturned(long atMillis) implements HostEvent {}
 
+  /** Changes of a table were read from the store and reported by the events before. */
+  record TableChangesRead(long atMillis, TableChanges changes) implements HostEvent {}
+
   /** A read of the lease row has ended; {@code read} is empty if it failed. */
   record LeaseReadEnded(long atMillis, Optional<LeaseRead> read) implements HostEvent {}
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -1,5 +1,6 @@
 package dev.hornbeamwheel.core.host.node;
 
+import dev.hornbeamwheel.core.host.catalog.TableChanges;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.DataCentreId;
@@ -125,4 +126,7 @@
       Map<Integer, UpstreamId> changedOwnersByFirstKey,
       Set<Integer> mergedFirstKeys)
       implements HostMessage {}
+
+  /** Tells a host the changes of a table that the coordinator has read from the store. */
+  record CatalogChange(TableChanges changes) implements HostMessage {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -68,6 +68,7 @@
   private long reconnectAtMillis;
   private long lastMessageMillis;
   private long lastLeaseHeldMillis;
+  private final CoordinatorWatch coordinatorWatch = new CoordinatorWatch();
   private HostCapacity bestCapacity = HostCapacity.unknown();
   private boolean handingOver;
   private long handoverAtMillis;
@@ -147,6 +148,14 @@
     } else {
       applyControlEvent(now, event);
     }
+    updateCoordinatorWatch(now);
+  }
+
+  private void updateCoordinatorWatch(long now) {
+    boolean remote = connected && coordinator.isEmpty();
+    if (coordinatorWatch.update(now, remote, lastLeaseHeldMillis)) {
+      pendingEffects.add(new HostEffect.FollowCoordinator(coordinatorWatch.reliable()));
+    }
   }
 
   private void applyControlEvent(long now, HostEvent event) {
@@ -211,6 +220,9 @@
       log(LogEntry.of("evacuations").with("dataCentres", read.dataCentres().toString()));
     } else if (event instanceof HostEvent.StoreReturned) {
       catalog.storeReturned(now);
+    } else if (event instanceof HostEvent.TableChangesRead read) {
+      coordinator.ifPresent(c -> dispatch(now, c.tableChangesRead(read.changes())));
+      return;
     }
     coordinator.ifPresent(Coordinator::catalogChanged);
   }
@@ -379,6 +391,8 @@
     } else if (message instanceof HostMessage.KeyMapChange change) {
       requestFlow.updateOwners(
           change.service(), change.changedOwnersByFirstKey(), change.mergedFirstKeys());
+    } else if (message instanceof HostMessage.CatalogChange change) {
+      pendingEffects.add(new HostEffect.TakeOverChanges(change.changes()));
     }
   }
 
@@ -452,34 +466,9 @@
   }
 
   private void performRequest(long now, RequestEffect effect) {
-    if (effect instanceof RequestEffect.RequestSlot ask) {
-      sendToCoordinator(
-          now,
-          new HostMessage.SlotRequest(
-              ask.slotRequestNumber(),
-              ask.service(),
-              ask.key(),
-              ask.priority(),
-              ask.remainingMillis(),
-              ask.targetRemainingMillis(),
-              ask.largeResponse(),
-              ask.excludedUpstreams()));
-    } else if (effect instanceof RequestEffect.CancelSlotRequest cancel) {
-      sendToCoordinator(now, new HostMessage.Cancel(cancel.slotRequestNumber()));
-    } else if (effect instanceof RequestEffect.ReleaseSlot free) {
-      sendToCoordinator(
-          now,
-          new HostMessage.Done(
-              free.slotRequestNumber(),
-              free.upstream(),
-              free.completion(),
-              free.runMillis(),
-              free.relativeWorkPercent()));
-    } else if (effect instanceof RequestEffect.ReportHeldSlot hold) {
-      sendToCoordinator(
-          now,
-          new HostMessage.SlotInUse(
-              hold.slotRequestNumber(), hold.service(), hold.key(), hold.upstream()));
+    Optional<HostMessage> message = SlotMessages.of(effect);
+    if (message.isPresent()) {
+      sendToCoordinator(now, message.get());
     } else if (effect instanceof RequestEffect.Log line) {
       log(line.entry());
     } else {
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
@@ -26,7 +26,8 @@
             entry(HostMessage.SlotGrant.class, "Give"),
             entry(HostMessage.SlotRefusal.class, "Refuse"),
             entry(HostMessage.KeyMap.class, "KeyMap"),
-            entry(HostMessage.KeyMapChange.class, "KeyMapChange"));
+            entry(HostMessage.KeyMapChange.class, "KeyMapChange"),
+            entry(HostMessage.CatalogChange.class, "CatalogChange"));
   }
 
   @Test
@@ -41,6 +42,7 @@
             entry(HostEvent.UpstreamRemoved.class, "UpstreamRemoved"),
             entry(HostEvent.EvacuationsRead.class, "EvacuationsRead"),
             entry(HostEvent.StoreReturned.class, "StoreReturned"),
+            entry(HostEvent.TableChangesRead.class, "TableChangesRead"),
             entry(HostEvent.LeaseReadEnded.class, "LeaseReadEnded"),
             entry(HostEvent.LeaseWriteEnded.class, "LeaseWriteEnded"),
             entry(HostEvent.TableReadEnded.class, "TableReadEnded"),
@@ -69,6 +71,8 @@
             entry(HostEffect.SendToCoordinator.class, "Say"),
             entry(HostEffect.SendToHost.class, "Tell"),
             entry(HostEffect.DisconnectHosts.class, "DropHosts"),
+            entry(HostEffect.FollowCoordinator.class, "FollowCoordinator"),
+            entry(HostEffect.TakeOverChanges.class, "TakeOverChanges"),
             entry(HostEffect.Log.class, "Log"));
   }
 
--- /dev/null
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/CatalogChangeMapping.java
@@ -0,0 +1,67 @@
+package dev.hornbeamwheel.wire;
+
+import dev.hornbeamwheel.core.host.catalog.CatalogTable;
+import dev.hornbeamwheel.core.host.catalog.StoredRow;
+import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.proto.host.CatalogChangeBody;
+import dev.hornbeamwheel.proto.host.CatalogTableCode;
+import dev.hornbeamwheel.proto.host.StoredRowBody;
+import java.util.List;
+
+/** Turns changes of the store's tables into messages and back. */
+final class CatalogChangeMapping {
+  private CatalogChangeMapping() {}
+
+  static CatalogChangeBody toProto(TableChanges changes) {
+    return CatalogChangeBody.newBuilder()
+        .setTable(code(changes.table()))
+        .setAfterVersion(changes.afterVersion())
+        .setVersion(changes.version())
+        .addAllRows(changes.rows().stream().map(CatalogChangeMapping::row).toList())
+        .build();
+  }
+
+  /**
+   * Returns the changes in a message.
+   *
+   * @throws IllegalArgumentException if the table is not known here or a version is impossible
+   */
+  static TableChanges fromProto(CatalogChangeBody body) {
+    long after = body.getAfterVersion();
+    long version = body.getVersion();
+    if (after < 0 || version < after) {
+      throw new IllegalArgumentException("changes from version " + after + " to " + version);
+    }
+    List<StoredRow> rows =
+        body.getRowsList().stream()
+            .map(
+                row ->
+                    new StoredRow(row.getKey(), row.getValue(), row.getVersion(), row.getDeleted()))
+            .toList();
+    return new TableChanges(table(body), after, version, rows);
+  }
+
+  private static StoredRowBody row(StoredRow row) {
+    return StoredRowBody.newBuilder()
+        .setKey(row.key())
+        .setValue(row.value())
+        .setVersion(row.version())
+        .setDeleted(row.deleted())
+        .build();
+  }
+
+  private static CatalogTableCode code(CatalogTable table) {
+    return switch (table) {
+      case OPERATOR_DOCUMENTS -> CatalogTableCode.OPERATOR_DOCUMENTS;
+      case REGISTRATIONS -> CatalogTableCode.REGISTRATIONS;
+    };
+  }
+
+  private static CatalogTable table(CatalogChangeBody body) {
+    return switch (body.getTable()) {
+      case OPERATOR_DOCUMENTS -> CatalogTable.OPERATOR_DOCUMENTS;
+      case REGISTRATIONS -> CatalogTable.REGISTRATIONS;
+      case UNRECOGNIZED -> throw new IllegalArgumentException("unknown table");
+    };
+  }
+}
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
@@ -88,6 +88,8 @@
           keyMap(change.service(), change.changedOwnersByFirstKey())
               .setChanges(true)
               .addAllJoined(change.mergedFirstKeys()));
+    } else if (message instanceof HostMessage.CatalogChange change) {
+      frame.setCatalogChange(CatalogChangeMapping.toProto(change.changes()));
     }
   }
 
@@ -131,6 +133,8 @@
                 DataCentreId.of(frame.getHello().getDataCentre()),
                 new HostCapacity(frame.getHello().getCapacity()));
         case KEY_MAP -> keyMap(frame.getKeyMap());
+        case CATALOG_CHANGE ->
+            new HostMessage.CatalogChange(CatalogChangeMapping.fromProto(frame.getCatalogChange()));
         case BODY_NOT_SET -> throw new IllegalArgumentException("a frame without a message");
       };
     } catch (IllegalArgumentException e) {
--- a/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
@@ -1,13 +1,20 @@
 package dev.hornbeamwheel.wire;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import dev.hornbeamwheel.core.host.catalog.CatalogTable;
+import dev.hornbeamwheel.core.host.catalog.StoredRow;
+import dev.hornbeamwheel.core.host.catalog.TableChanges;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.node.HostMessage;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.proto.host.CatalogChangeBody;
+import dev.hornbeamwheel.proto.host.HostFrame;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -39,6 +46,33 @@
     assertKept(new HostMessage.Heartbeat(7, false, 142, strong, true));
   }
 
+  @Test
+  void changesOfTablesAreKept() throws Exception {
+    List<StoredRow> rows =
+        List.of(new StoredRow("i-1", "{}", 8, false), new StoredRow("i-2", "", 9, true));
+    assertKept(
+        new HostMessage.CatalogChange(new TableChanges(CatalogTable.REGISTRATIONS, 7, 12, rows)));
+    assertKept(
+        new HostMessage.CatalogChange(TableChanges.none(CatalogTable.OPERATOR_DOCUMENTS, 3)));
+  }
+
+  @Test
+  void changesWithImpossibleVersionsOrTablesAreMalformed() {
+    CatalogChangeBody impossible =
+        CatalogChangeBody.newBuilder().setAfterVersion(8).setVersion(7).build();
+    CatalogChangeBody unknown =
+        CatalogChangeBody.newBuilder().setTableValue(17).setVersion(7).build();
+
+    assertThatThrownBy(() -> HostMessageMapping.fromProto(frame(impossible)))
+        .isInstanceOf(MalformedMessageException.class);
+    assertThatThrownBy(() -> HostMessageMapping.fromProto(frame(unknown)))
+        .isInstanceOf(MalformedMessageException.class);
+  }
+
+  private static HostFrame frame(CatalogChangeBody body) {
+    return HostFrame.newBuilder().setCatalogChange(body).build();
+  }
+
   // Each moved range is told to each host; at many hosts, long words fill the link.
   @Test
   void aMovedRangeTakesLessThanAHundredBytes() {
