Take back the wait for a busy coordinator, which served callers no better

So callers were told later, not helped: the coordinator cannot work off the requests of that second, wherever they wait.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -27,6 +27,9 @@
  * known not to have run: the upstream reported so, or no connection could be made.
  */
 public final class RequestFlow {
+  /** Time without a heartbeat after which the coordinator is not used, in milliseconds. */
+  static final long COORDINATOR_TIMEOUT_MILLIS = 450;
+
   /** Retry delay sent to a caller when no estimate is available, in milliseconds. */
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
 
@@ -45,7 +48,8 @@
   private final Map<Long, InFlightRequest> awaitingSlot = new HashMap<>();
   private final Map<String, Long> longestTimeoutMillis = new HashMap<>();
   private final List<RequestEffect> effects = new ArrayList<>();
-  private final CoordinatorContact coordinator = new CoordinatorContact();
+  private boolean coordinatorConnected;
+  private long lastHeartbeatMillis = Long.MIN_VALUE / 2;
   private long nextSlotRequestNumber = 1;
   private long drainStartMillis = Long.MAX_VALUE;
   private long shutdownDeadlineMillis = Long.MAX_VALUE;
@@ -210,7 +214,8 @@
 
   /** Handles an established connection to the coordinator; reports the running requests to it. */
   public List<RequestEffect> coordinatorConnected(long nowMillis) {
-    coordinator.established(nowMillis);
+    coordinatorConnected = true;
+    lastHeartbeatMillis = nowMillis;
     log.coordinatorConnected(nowMillis);
     inFlight.values().stream()
         .filter(request -> request.state == State.RUNNING)
@@ -229,7 +234,7 @@
 
   /** Handles a lost connection to the coordinator; selects an upstream for each waiting request. */
   public List<RequestEffect> coordinatorLost(long nowMillis) {
-    coordinator.lost();
+    coordinatorConnected = false;
     inFlight.values().forEach(request -> request.decidedByCoordinator = false);
     selectAllLocally(nowMillis);
     return drainEffects();
@@ -237,7 +242,7 @@
 
   /** Records a heartbeat of the coordinator. */
   public void heartbeatReceived(long nowMillis, long term, int hostCount) {
-    coordinator.heartbeatReceived(nowMillis);
+    lastHeartbeatMillis = nowMillis;
     log.heartbeatReceived(nowMillis, term);
     localSelector.updateHostCount(hostCount);
   }
@@ -263,7 +268,7 @@
    * upstreams locally for the requests that wait for a slot.
    */
   public List<RequestEffect> tick(long nowMillis) {
-    if (!awaitingSlot.isEmpty() && !coordinator.usable(nowMillis)) {
+    if (!awaitingSlot.isEmpty() && !coordinatorUsable(nowMillis)) {
       selectAllLocally(nowMillis);
     }
     List.copyOf(inFlight.values()).stream()
@@ -296,12 +301,17 @@
     return nowMillis + Math.max(0, route.targetLatencyMillis() - elapsedMillis);
   }
 
+  private boolean coordinatorUsable(long nowMillis) {
+    return coordinatorConnected && nowMillis - lastHeartbeatMillis < COORDINATOR_TIMEOUT_MILLIS;
+  }
+
   private void requestSlot(long nowMillis, InFlightRequest request) {
     request.state = State.AWAITING_SLOT;
     request.decidedByCoordinator = false;
     request.slotRequestNumber = nextSlotRequestNumber++;
     request.slotRequestedMillis = nowMillis;
-    if (!coordinator.usable(nowMillis) && trySendOrRefuse(nowMillis, request)) {
+    if (!coordinatorUsable(nowMillis)) {
+      selectLocally(nowMillis, request);
       return;
     }
     awaitingSlot.put(request.slotRequestNumber, request);
@@ -322,25 +332,21 @@
 
   private void selectAllLocally(long nowMillis) {
     List<InFlightRequest> waitingRequests = List.copyOf(awaitingSlot.values());
-    waitingRequests.forEach(request -> trySendOrRefuse(nowMillis, request));
+    waitingRequests.forEach(
+        request -> {
+          cancelSlotRequest(request);
+          selectLocally(nowMillis, request);
+        });
   }
 
-  /**
-   * Decides on a request without the coordinator; returns false if the request has to wait for it.
-   */
-  private boolean trySendOrRefuse(long nowMillis, InFlightRequest request) {
+  private void selectLocally(long nowMillis, InFlightRequest request) {
     Optional<UpstreamRegistration> selected =
         localSelector.select(nowMillis, request.service, request.key(), request.excludedUpstreams);
-    if (selected.isEmpty() && coordinator.mayAnswer(nowMillis)) {
-      return false;
-    }
-    cancelSlotRequest(request);
     if (selected.isPresent()) {
       send(nowMillis, request, selected.get());
     } else {
       refuse(nowMillis, request, DEFAULT_RETRY_AFTER_MILLIS, "no upstream in reach has room");
     }
-    return true;
   }
 
   private void cancelSlotRequest(InFlightRequest request) {
