Test requests that come late in the grace period of a stopping host

The report of other operators: in a planned stop in calm, requests that came late in the grace were passed on and cut with no answer at its end. So far only the reducer was tested for it (RequestFlowTest). The new test sends an order on a new connection every 100 ms over the whole grace, to upstreams that run nearly as long as the route allows: each order that ran is answered, and all that come more than 1.5 s before the end get an answer.

--- a/host/src/test/java/dev/hornbeamwheel/host/ConnectionEndTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/ConnectionEndTest.java
@@ -12,8 +12,14 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -30,6 +36,18 @@
   private static final int RECEIVE_BUFFER_BYTES = 8 << 10;
   private static final long RUN_MILLIS = 600;
   private static final int READ_TIMEOUT_MILLIS = 5_000;
+
+  /** Nearly the timeout of an order's route, in milliseconds. */
+  private static final long LONG_RUN_MILLIS = 1_300;
+
+  private static final long SEND_INTERVAL_MILLIS = 100;
+
+  /** Status of a request that has not run. */
+  private static final String REFUSED = "503";
+
+  /** Time before the end of the grace period in which a request may come too late to be read. */
+  private static final long UNREAD_MILLIS = 1_500;
+
   private static final String ORDER_HEADERS =
       "POST /order/1 HTTP/1.1\r\n" + SiteCaller.HEADER_LINES + "Content-Length: 0\r\n";
 
@@ -141,6 +159,50 @@
     }
   }
 
+  /**
+   * Guards against requests that come late in the grace period, reach an upstream and are cut
+   * without an answer when the process ends.
+   */
+  @Test
+  void requestsLateInTheGracePeriodAreAnsweredOrNeverForwarded() throws Exception {
+    start();
+    site.desk.forEach(upstream -> upstream.runFor(LONG_RUN_MILLIS));
+    int before = runs();
+    CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> site.stopHost(0));
+    ExecutorService callers = Executors.newCachedThreadPool();
+    try {
+      List<Future<Optional<String>>> statuses = new ArrayList<>();
+      for (long sentMillis = 0; sentMillis < GRACE_MILLIS; sentMillis += SEND_INTERVAL_MILLIS) {
+        statuses.add(callers.submit(this::orderOnNewConnection));
+        Thread.sleep(SEND_INTERVAL_MILLIS);
+      }
+      stopped.join();
+      List<Optional<String>> ended = new ArrayList<>();
+      for (Future<Optional<String>> status : statuses) {
+        ended.add(status.get());
+      }
+
+      int surelyRead = (int) ((GRACE_MILLIS - UNREAD_MILLIS) / SEND_INTERVAL_MILLIS);
+      assertThat(ended.subList(0, surelyRead)).allMatch(Optional::isPresent);
+      // A request that waited for its slot may reach its deadline, which is answered with 504.
+      assertThat(ended.stream().flatMap(Optional::stream).filter(s -> !s.equals(REFUSED)).count())
+          .isEqualTo(runs() - before);
+    } finally {
+      callers.shutdownNow();
+    }
+  }
+
+  /** Sends an order; returns the status of its response, or empty if there is none. */
+  private Optional<String> orderOnNewConnection() {
+    try (Socket caller = connect()) {
+      send(caller, ORDER_HEADERS + "\r\n");
+      String status = new String(caller.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+      return status.length() == 12 ? Optional.of(status.substring(9)) : Optional.empty();
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
   private void start() throws Exception {
     site = new SiteFixture(1, GRACE_MILLIS);
     assertThat(site.awaitServing(0, START_TIMEOUT)).isTrue();
