--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/HostSimulation.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/HostSimulation.java
@@ -3,6 +3,7 @@
 import dev.hornbeamwheel.core.host.catalog.Address;
 import dev.hornbeamwheel.core.host.catalog.CallerLimits;
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
+import dev.hornbeamwheel.core.host.catalog.TableChanges;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.lease.LeaseEffect;
 import dev.hornbeamwheel.core.host.lease.LeaseRead;
@@ -41,6 +42,12 @@
     private Optional<Link> coordinatorLink = Optional.empty();
     private boolean crashed;
 
+    /** Whether the host relies on the coordinator for changes of tables. */
+    boolean followsCoordinator;
+
+    /** The changes that the host took over from the coordinator. */
+    final List<TableChanges> takenOver = new ArrayList<>();
+
     private Host(int index, HostCapacity capacity, long seed) {
       this.index = index;
       this.capacity = capacity;
@@ -61,6 +68,11 @@
       }
     }
 
+    /** Reports that the host has read changes from the store. */
+    void readFromStore(TableChanges changes) {
+      reduce(new HostEvent.TableChangesRead(nowMillis, changes));
+    }
+
     boolean isCoordinator() {
       return !crashed && node.coordinating();
     }
@@ -138,6 +150,11 @@
                         && coordinators.get(0).hostLinks.containsValue(host.coordinatorLink.get()));
   }
 
+  /** Returns the running hosts that are not the coordinator. */
+  List<Host> otherHosts() {
+    return hosts.stream().filter(host -> !host.crashed && !host.isCoordinator()).toList();
+  }
+
   /** Returns the host that is the coordinator. */
   Host coordinatingHost() {
     return hosts.stream().filter(Host::isCoordinator).findFirst().orElseThrow();
@@ -191,6 +208,10 @@
                   }));
     } else if (effect instanceof HostEffect.SendToHost send) {
       sendToHost(host.hostLinks.get(send.link()), send.message());
+    } else if (effect instanceof HostEffect.FollowCoordinator follow) {
+      host.followsCoordinator = follow.heard();
+    } else if (effect instanceof HostEffect.TakeOverChanges take) {
+      host.takenOver.add(take.changes());
     } else if (effect instanceof HostEffect.Log line && line.entry().event().equals("lease-won")) {
       leaseWins++;
     }
