Count keys in transit to an upstream as its own when planning moves

What callers saw: an upstream that does not confirm the first keys it is given got more in each plan, every 200 ms; all of them had no holder until it was taken for failed. Its log shows 26 moves in 9 s, with the reason "upstream had no keys", to the one upstream whose every grant was broken off.

Cause: the planner saw only ranges that may move. Ranges whose new owner has not confirmed them counted for nobody, so that their owner seemed to have neither keys nor demand, both for upstreams without keys and for balance.

Now such ranges count for the upstream that they go to. MovePlanTest.upstreamGetsNoMoreKeysUntilItHasConfirmedTheFirst failed before by the same reasoning: the plan named a move to it.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyPlanner.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyPlanner.java
@@ -78,6 +78,7 @@
 
   private KeyPlanner(
       List<MovableRange> movable,
+      List<KeyAssignment> inTransit,
       List<UpstreamRegistration> upstreams,
       KeyDemand demand,
       Capacity capacity) {
@@ -90,21 +91,27 @@
                 eligible.put(
                     registration.id(),
                     new EligibleUpstream(registration, capacity.requestsPerSecond(registration))));
-    movable.stream().filter(movableRange -> !movableRange.needsNewOwner()).forEach(this::addDemand);
+    movable.stream()
+        .filter(movableRange -> !movableRange.needsNewOwner())
+        .forEach(movableRange -> addDemand(movableRange.range(), movableRange.owner()));
+    inTransit.forEach(
+        assignment -> addDemand(assignment.range(), assignment.owner().incarnation().id()));
   }
 
   /**
    * Returns the moves to make.
    *
    * @param movable all ranges that may be moved
+   * @param inTransit the other ranges, whose new owners have not confirmed them yet
    * @param upstreams upstreams that may own keys
    */
   static List<KeyMove> plan(
       List<MovableRange> movable,
+      List<KeyAssignment> inTransit,
       List<UpstreamRegistration> upstreams,
       KeyDemand demand,
       Capacity capacity) {
-    KeyPlanner planner = new KeyPlanner(movable, upstreams, demand, capacity);
+    KeyPlanner planner = new KeyPlanner(movable, inTransit, upstreams, demand, capacity);
     if (!planner.eligible.isEmpty()) {
       planner.assignNewOwners();
       planner.fillEmptyUpstreams();
@@ -156,10 +163,10 @@
         .toList();
   }
 
-  private void addDemand(MovableRange movableRange) {
-    EligibleUpstream owner = eligible.get(movableRange.owner());
+  private void addDemand(KeyRange range, UpstreamId ownerId) {
+    EligibleUpstream owner = eligible.get(ownerId);
     if (owner != null) {
-      owner.demandPerSecond += demand.requestsPerSecond(movableRange.range());
+      owner.demandPerSecond += demand.requestsPerSecond(range);
       owner.rangeCount++;
     }
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/MovePlan.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/MovePlan.java
@@ -32,15 +32,14 @@
       KeyDemand demand,
       Capacity capacity) {
     MovePlan plan = new MovePlan(nowMillis, ranges, eligibility);
-    return KeyPlanner.plan(plan.movable(), eligible, demand, capacity).stream()
+    return KeyPlanner.plan(plan.movable(), plan.inTransit(), eligible, demand, capacity).stream()
         .filter(plan::mayStart)
         .toList();
   }
 
   private List<KeyPlanner.MovableRange> movable() {
     return ranges.stream()
-        .filter(range -> range.phase() != Phase.RELEASING)
-        .filter(range -> range.phase() == Phase.HELD || needsNewOwner(range))
+        .filter(this::canMove)
         .map(
             range ->
                 new KeyPlanner.MovableRange(
@@ -50,6 +49,15 @@
         .toList();
   }
 
+  private List<KeyAssignment> inTransit() {
+    return ranges.stream().filter(range -> !canMove(range)).map(OwnedRange::assignment).toList();
+  }
+
+  private boolean canMove(OwnedRange range) {
+    return range.phase() == Phase.HELD
+        || (range.phase() != Phase.RELEASING && needsNewOwner(range));
+  }
+
   private boolean mayStart(KeyMove move) {
     return ranges
         .find(move.range().first())
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/MovePlanTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/MovePlanTest.java
@@ -36,15 +36,35 @@
     return registration;
   }
 
+  // Guards against an upstream that does not confirm its first keys and gets more in each round, so
+  // that more and more keys have no holder.
+  @Test
+  void upstreamGetsNoMoreKeysUntilItHasConfirmedTheFirst() {
+    OwnedRange unconfirmed =
+        OwnedRange.neverHeld(
+            new KeyAssignment(new KeyRange(0, 99), KeyOwner.of(withoutKeys, 2), Optional.empty()));
+    OwnedRange held =
+        OwnedRange.inherited(
+            new KeyAssignment(
+                new KeyRange(100, KeyRange.MAX_KEY), KeyOwner.of(owner, 1), Optional.empty()),
+            GrantTracker.neverGranted());
+
+    assertThat(moves(0, List.of(unconfirmed, held))).isEmpty();
+  }
+
   /** Returns the moves for a service whose keys all have one owner, with these grants. */
   private List<KeyMove> moves(long nowMillis, GrantTracker grants) {
     KeyAssignment assignment =
         new KeyAssignment(
             new KeyRange(0, KeyRange.MAX_KEY), KeyOwner.of(owner, 1), Optional.empty());
+    return moves(nowMillis, List.of(OwnedRange.inherited(assignment, grants)));
+  }
+
+  private List<KeyMove> moves(long nowMillis, List<OwnedRange> ranges) {
     UpstreamFailureDetector detector = new UpstreamFailureDetector();
     return MovePlan.moves(
         nowMillis,
-        OwnedRanges.of(List.of(OwnedRange.inherited(assignment, grants))),
+        OwnedRanges.of(ranges),
         new OwnerEligibility(catalog, detector, new UnreachableDataCentres(catalog)),
         List.of(owner, withoutKeys),
         KeyDemand.empty(),
