Let test hosts listen below the ports of outgoing connections

Cause: SiteFixture chose a free port of the range that the system gives to outgoing connections (32768 to 60999) and closed the probe, so that a connection of another test could take it. Ports are now below that range and never given twice by a process.

--- a/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
@@ -10,16 +10,23 @@
 import dev.hornbeamwheel.standins.site.SiteCaller;
 import dev.hornbeamwheel.standins.site.StoreStandin;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
 /** Runs a store, three keyed and two pooled upstreams, and entry hosts on the loopback address. */
 final class SiteFixture implements AutoCloseable {
+  /** Next port to try; different processes begin at different ones. */
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger(ThreadLocalRandom.current().nextInt(20_000, 30_000));
+
   private static final String[] DATA_CENTRES = {"quimper", "morlaix", "vannes"};
   private static final int HOLD_MAX_MILLIS = 10_000;
   private static final long DEFAULT_GRACE_MILLIS = 1_000;
@@ -188,9 +195,17 @@
     return false;
   }
 
+  /**
+   * Returns an address at which a host can listen later. Its port is below those that the operating
+   * system gives to outgoing connections, so that none of them takes it meanwhile.
+   */
   private static Address freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new Address("127.0.0.1", socket.getLocalPort());
+    while (true) {
+      try (ServerSocket socket = new ServerSocket(NEXT_PORT.getAndIncrement())) {
+        return new Address("127.0.0.1", socket.getLocalPort());
+      } catch (BindException e) {
+        // Another socket listens there.
+      }
     }
   }
 
