--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -127,6 +127,6 @@
       Set<Integer> mergedFirstKeys)
       implements HostMessage {}
 
-  /** Tells a host the changes of a table that the coordinator has read from the store. */
+  /** Sends a host the changes of a table that the coordinator has read from the store. */
   record CatalogChange(TableChanges changes) implements HostMessage {}
 }
