--- a/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
@@ -171,6 +171,15 @@
     return caller.get(address(host), "/elsewhere/");
   }
 
+  HttpResponse<String> get(int host, String path) throws IOException, InterruptedException {
+    return caller.get(address(host), path);
+  }
+
+  HttpResponse<String> get(int host, String path, int key)
+      throws IOException, InterruptedException {
+    return caller.get(address(host), path, key);
+  }
+
   HttpResponse<String> get(Address address, String path) throws IOException, InterruptedException {
     return caller.get(address.toString(), path);
   }
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/ScriptedUpstreamStandin.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/ScriptedUpstreamStandin.java
@@ -130,8 +130,10 @@
 
   @Override
   public void close() throws IOException {
+    // The accepting thread forgets the open connections once it can't accept any more.
+    List<Socket> connected = List.copyOf(open);
     listening.close();
-    for (Socket socket : open) {
+    for (Socket socket : connected) {
       socket.close();
     }
   }
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/SiteCaller.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/SiteCaller.java
@@ -47,10 +47,7 @@
   /** Asks for a key at an address, {@code HOST:PORT}. */
   public HttpResponse<String> lookup(String address, int key)
       throws IOException, InterruptedException {
-    return send(
-        request(address, "/lookup/" + key)
-            .header("X-Hornbeamwheel-Shard-Key", Integer.toString(key))
-            .GET());
+    return get(address, "/lookup/" + key, key);
   }
 
   /** Places an order that may run once only. */
@@ -65,6 +62,13 @@
     return send(request(address, path).GET());
   }
 
+  /** Asks for any path, with a key. */
+  public HttpResponse<String> get(String address, String path, int key)
+      throws IOException, InterruptedException {
+    return send(
+        request(address, path).header("X-Hornbeamwheel-Shard-Key", Integer.toString(key)).GET());
+  }
+
   private static HttpRequest.Builder request(String address, String path) {
     return HttpRequest.newBuilder(URI.create("http://" + address + path))
         .header("X-Hornbeamwheel-Request-Attempt-Id", UUID.randomUUID().toString())
