--- a/core/src/main/java/dev/hornbeamwheel/core/host/catalog/FleetConfiguration.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/catalog/FleetConfiguration.java
@@ -80,14 +80,16 @@
    * @param path request path, without the query
    */
   public Optional<Route> route(String host, String path) {
-    String name = withoutPort(host).toLowerCase(Locale.ROOT);
+    String name = hostName(host);
     return routesByHost.getOrDefault(name, List.of()).stream()
         .filter(route -> route.matches(name, path))
         .findFirst();
   }
 
-  private static String withoutPort(String host) {
-    int colon = host.lastIndexOf(':');
-    return colon < 0 ? host : host.substring(0, colon);
+  /** Returns the name in the value of a Host header, by which requests are routed. */
+  public static String hostName(String hostHeader) {
+    int colon = hostHeader.lastIndexOf(':');
+    String name = colon < 0 ? hostHeader : hostHeader.substring(0, colon);
+    return name.toLowerCase(Locale.ROOT);
   }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -19,6 +19,8 @@
 import dev.hornbeamwheel.core.host.slots.SlotRequestId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.recovery.Evidence;
+import dev.hornbeamwheel.core.recovery.Quarantine;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -41,6 +43,7 @@
   private final long term;
   private final HostIdentity self;
   private final Catalog catalog;
+  private final Quarantine quarantine;
   private final SlotBroker broker;
   private final ConnectedHosts connectedHosts = new ConnectedHosts();
   private final Map<ServiceId, KeyedService> keyedServices = new HashMap<>();
@@ -59,8 +62,10 @@
   private long keyOrders;
   private long nowMillis;
 
-  Coordinator(long nowMillis, long term, HostIdentity self, Catalog catalog) {
+  Coordinator(
+      long nowMillis, long term, HostIdentity self, Catalog catalog, Quarantine quarantine) {
     this.term = term;
+    this.quarantine = quarantine;
     this.self = self;
     this.catalog = catalog;
     this.broker = SlotBroker.create(catalog, new KeyOwners());
@@ -97,6 +102,7 @@
       sendToHost(link, heartbeat(true));
       if (!link.equals(HostNode.LOCAL_LINK)) {
         tablePublisher.hostConnected(link);
+        sendEvidence(Set.of(link), quarantine.evidence(now));
       }
     } else if (message instanceof HostMessage.SlotRequest request) {
       slotRequests++;
@@ -115,10 +121,26 @@
               done.workPercent()));
     } else if (message instanceof HostMessage.SlotInUse inUse) {
       broker.recordHeldSlot(now, new SlotRequestId(link, inUse.requestNumber()), inUse.upstream());
+    } else if (message instanceof HostMessage.CrashEvidence crashes) {
+      sendEvidence(
+          connectedHosts.links(),
+          crashes.evidence().stream().filter(e -> quarantine.add(e, now)).toList());
     }
     return drain();
   }
 
+  /** Sends evidence of this host about requests that crash upstreams to all other hosts. */
+  List<HostEffect> publishEvidence(Evidence evidence) {
+    sendEvidence(connectedHosts.links(), List.of(evidence));
+    return drain();
+  }
+
+  private void sendEvidence(Set<LinkId> links, List<Evidence> evidence) {
+    if (!evidence.isEmpty()) {
+      links.forEach(link -> sendToHost(link, new HostMessage.CrashEvidence(evidence)));
+    }
+  }
+
   /** Removes a host whose connection was closed, with its slot requests. */
   List<HostEffect> hostDisconnected(long now, LinkId link) {
     nowMillis = now;
@@ -260,6 +282,7 @@
         now + request.deadlineMillis(),
         now + request.targetMillis(),
         request.largeResponse(),
+        request.suspect(),
         request.excludedUpstreams());
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
@@ -3,6 +3,7 @@
 import dev.hornbeamwheel.core.TimedEvent;
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
 import dev.hornbeamwheel.core.host.keys.OrderResult;
 import dev.hornbeamwheel.core.host.keys.TableReadResult;
@@ -10,6 +11,7 @@
 import dev.hornbeamwheel.core.host.lease.LeaseRead;
 import dev.hornbeamwheel.core.host.lease.LeaseWrite;
 import dev.hornbeamwheel.core.host.request.AttemptResult;
+import dev.hornbeamwheel.core.host.request.CheckResult;
 import dev.hornbeamwheel.core.host.request.RequestHead;
 import dev.hornbeamwheel.core.host.request.RequestRef;
 import dev.hornbeamwheel.core.host.slots.LinkId;
@@ -128,6 +130,13 @@
     }
   }
 
+  /** A check whether an upstream still runs has ended. */
+  record UpstreamChecked(long atMillis, UpstreamIncarnation upstream, CheckResult result)
+      implements HostEvent {}
+
+  /** An operator allowed a request again that is refused because it crashed upstreams. */
+  record QuarantineLifted(long atMillis, long fingerprint) implements HostEvent {}
+
   /** An attempt at an upstream has ended. */
   record AttemptEnded(long atMillis, RequestRef request, AttemptResult result)
       implements HostEvent {}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -7,6 +7,8 @@
 import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.recovery.Evidence;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -33,6 +35,7 @@
    * @param priority rank; zero goes first
    * @param deadlineMillis time until the request's deadline, in milliseconds
    * @param targetMillis time until the latency target, in milliseconds; zero if it has passed
+   * @param suspect whether an upstream ended, or may have ended, while it ran the same request
    * @param excludedUpstreams upstreams that the host cannot use now
    */
   record SlotRequest(
@@ -43,6 +46,7 @@
       long deadlineMillis,
       long targetMillis,
       boolean largeResponse,
+      boolean suspect,
       Set<UpstreamId> excludedUpstreams)
       implements HostMessage {
     @Override
@@ -127,6 +131,9 @@
       Set<Integer> mergedFirstKeys)
       implements HostMessage {}
 
+  /** Reports evidence about requests that crash upstreams, to the coordinator or from it. */
+  record CrashEvidence(List<Evidence> evidence) implements HostMessage {}
+
   /** Sends a host the changes of a table that the coordinator has read from the store. */
   record CatalogChange(TableChanges changes) implements HostMessage {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -13,6 +13,8 @@
 import dev.hornbeamwheel.core.host.request.RequestEffect;
 import dev.hornbeamwheel.core.host.request.RequestFlow;
 import dev.hornbeamwheel.core.host.slots.LinkId;
+import dev.hornbeamwheel.core.recovery.Evidence;
+import dev.hornbeamwheel.core.recovery.Quarantine;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,6 +55,8 @@
 
   private final HostIdentity self;
   private final Catalog catalog = Catalog.empty();
+  private final Quarantine quarantine = Quarantine.empty();
+  private final CatalogEvents catalogEvents = new CatalogEvents(catalog, this::log);
   private final CoordinatorLease lease;
   private final RequestFlow requestFlow;
   private final List<HostEffect> pendingEffects = new ArrayList<>();
@@ -77,7 +81,7 @@
   private HostNode(HostIdentity self) {
     this.self = self;
     this.lease = CoordinatorLease.create(self.host(), self.address(), self.seed());
-    this.requestFlow = RequestFlow.create(catalog, self.dataCentre(), self.seed());
+    this.requestFlow = RequestFlow.create(catalog, quarantine, self.dataCentre(), self.seed());
   }
 
   /** Returns the reducer of a newly started entry host. */
@@ -95,6 +99,11 @@
     return stopping;
   }
 
+  /** Returns the requests that are refused because they crash upstreams. */
+  public List<Quarantine.Entry> quarantined(long nowMillis) {
+    return quarantine.entries(nowMillis);
+  }
+
   /** Returns the number of requests in flight. */
   public int requestsInFlight() {
     return requestFlow.inFlightCount();
@@ -131,6 +140,8 @@
       performRequests(now, requestFlow.attemptEnded(now, ended.request(), ended.result()));
     } else if (event instanceof HostEvent.CallerDisconnected disconnected) {
       performRequests(now, requestFlow.callerDisconnected(now, disconnected.request()));
+    } else if (event instanceof HostEvent.UpstreamChecked checked) {
+      performRequests(now, requestFlow.upstreamChecked(now, checked.upstream(), checked.result()));
     } else if (event instanceof HostEvent.Tick) {
       tick(now);
     } else if (event instanceof HostEvent.ClockAdvanced advanced) {
@@ -162,6 +173,8 @@
     if (event instanceof HostEvent.HostDisconnected disconnected) {
       pendingHellos.remove(disconnected.link());
       coordinator.ifPresent(c -> dispatch(now, c.hostDisconnected(now, disconnected.link())));
+    } else if (event instanceof HostEvent.QuarantineLifted lifted) {
+      performRequests(now, requestFlow.quarantineLifted(now, lifted.fingerprint()));
     } else if (event instanceof HostEvent.CoordinatorConnected established) {
       coordinatorConnected(now, established.term());
     } else if (event instanceof HostEvent.CoordinatorDisconnected disconnected) {
@@ -195,35 +208,11 @@
   }
 
   private void applyCatalogEvent(long now, HostEvent event) {
-    if (event instanceof HostEvent.ConfigurationRead read) {
-      if (catalog.configure(read.configuration())) {
-        log(LogEntry.of("configuration").with("version", read.configuration().version()));
-      }
-    } else if (event instanceof HostEvent.UpstreamsRead read) {
-      catalog.replaceUpstreams(now, read.entries());
-      log(LogEntry.of("upstreams-read").with("count", read.entries().size()));
-    } else if (event instanceof HostEvent.UpstreamChanged changed) {
-      catalog.putUpstream(changed.entry());
-      log(
-          LogEntry.of("upstream-changed")
-              .with("upstream", changed.entry().id().value())
-              .with("service", changed.entry().service().value())
-              .with("address", changed.entry().address().toString())
-              .with("dataCentre", changed.entry().dataCentre().value())
-              .with("draining", changed.entry().draining() ? 1 : 0)
-              .with("coldMillis", Math.max(0, changed.entry().coldUntilMillis() - now)));
-    } else if (event instanceof HostEvent.UpstreamRemoved removed) {
-      catalog.removeUpstream(now, removed.upstream());
-      log(LogEntry.of("upstream-removed").with("upstream", removed.upstream().value()));
-    } else if (event instanceof HostEvent.EvacuationsRead read) {
-      catalog.evacuate(read.dataCentres());
-      log(LogEntry.of("evacuations").with("dataCentres", read.dataCentres().toString()));
-    } else if (event instanceof HostEvent.StoreReturned) {
-      catalog.storeReturned(now);
-    } else if (event instanceof HostEvent.TableChangesRead read) {
+    if (event instanceof HostEvent.TableChangesRead read) {
       coordinator.ifPresent(c -> dispatch(now, c.tableChangesRead(read.changes())));
       return;
     }
+    catalogEvents.apply(now, event);
     coordinator.ifPresent(Coordinator::catalogChanged);
   }
 
@@ -347,6 +336,10 @@
     lastLeaseHeldMillis = now;
     handingOver = false;
     sendToCoordinator(now, new HostMessage.Hello(self.host(), self.dataCentre(), self.capacity()));
+    List<Evidence> evidence = quarantine.evidence(now);
+    if (coordinator.isEmpty() && !evidence.isEmpty()) {
+      sendToCoordinator(now, new HostMessage.CrashEvidence(evidence));
+    }
     performRequests(now, requestFlow.coordinatorConnected(now));
     log(LogEntry.of("coordinator-joined").with("term", knownTerm()));
   }
@@ -391,6 +384,8 @@
     } else if (message instanceof HostMessage.KeyMapChange change) {
       requestFlow.updateOwners(
           change.service(), change.changedOwnersByFirstKey(), change.mergedFirstKeys());
+    } else if (message instanceof HostMessage.CrashEvidence crashes) {
+      performRequests(now, requestFlow.evidenceReceived(now, crashes.evidence()));
     } else if (message instanceof HostMessage.CatalogChange change) {
       pendingEffects.add(new HostEffect.TakeOverChanges(change.changes()));
     }
@@ -425,7 +420,7 @@
     disconnect(now);
     resign(now);
     knownLease = Optional.of(new LeaseRow(term, self.host(), self.address(), 0, bestCapacity));
-    coordinator = Optional.of(new Coordinator(now, term, self, catalog));
+    coordinator = Optional.of(new Coordinator(now, term, self, catalog, quarantine));
     joinCoordinator(now);
     Coordinator started = coordinator.get();
     pendingHellos.forEach((link, hello) -> dispatch(now, started.receive(now, link, hello)));
@@ -471,11 +466,21 @@
       sendToCoordinator(now, message.get());
     } else if (effect instanceof RequestEffect.Log line) {
       log(line.entry());
+    } else if (effect instanceof RequestEffect.ReportEvidence report) {
+      reportEvidence(now, report.evidence());
     } else {
       pendingEffects.add(new HostEffect.Request(effect));
     }
   }
 
+  private void reportEvidence(long now, Evidence evidence) {
+    if (coordinator.isPresent()) {
+      dispatch(now, coordinator.get().publishEvidence(evidence));
+    } else {
+      sendToCoordinator(now, new HostMessage.CrashEvidence(List.of(evidence)));
+    }
+  }
+
   private long knownTerm() {
     return knownLease.map(LeaseRow::term).orElse(0L);
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/SlotMessages.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/SlotMessages.java
@@ -19,6 +19,7 @@
               request.remainingMillis(),
               request.targetRemainingMillis(),
               request.largeResponse(),
+              request.suspect(),
               request.excludedUpstreams()));
     }
     if (effect instanceof RequestEffect.CancelSlotRequest cancel) {
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/Admission.java
@@ -0,0 +1,72 @@
+package dev.hornbeamwheel.core.host.request;
+
+import dev.hornbeamwheel.core.host.catalog.Catalog;
+import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
+import dev.hornbeamwheel.core.host.catalog.Route;
+import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.model.ServiceId;
+import java.util.Optional;
+import java.util.Random;
+
+/** Routes the requests of callers by the configuration, or rejects them on arrival. */
+final class Admission {
+  private final Catalog catalog;
+  private final FinalResponses responses;
+  private final WeightedRoundRobin serviceSelector;
+  private final LatencyTargets targets = new LatencyTargets();
+  private long drainStartMillis = Long.MAX_VALUE;
+  private long shutdownDeadlineMillis = Long.MAX_VALUE;
+
+  Admission(Catalog catalog, FinalResponses responses, Random random) {
+    this.catalog = catalog;
+    this.responses = responses;
+    this.serviceSelector = new WeightedRoundRobin(random);
+  }
+
+  /**
+   * Records that the process is shutting down.
+   *
+   * @param drainStart time from which requests with a deadline after {@code shutdownDeadline} are
+   *     rejected
+   * @param shutdownDeadline latest time at which the process exits
+   */
+  void shutdownStarted(long drainStart, long shutdownDeadline) {
+    drainStartMillis = drainStart;
+    shutdownDeadlineMillis = shutdownDeadline;
+  }
+
+  /** Returns a request with its route and service, or empty if it is rejected. */
+  Optional<InFlightRequest> admit(long nowMillis, RequestRef ref, RequestHead head) {
+    Optional<FleetConfiguration> configuration = catalog.configuration();
+    if (configuration.isEmpty() || !catalog.loaded()) {
+      return reject(ref, head, ErrorResponse.NOT_READY);
+    }
+    Optional<Route> route = configuration.get().route(head.host(), head.path());
+    if (route.isEmpty()) {
+      return reject(ref, head, ErrorResponse.NO_ROUTE);
+    }
+    ServiceId service = serviceSelector.next(route.get());
+    boolean keyed = configuration.get().service(service).map(ServiceSpec::keyed).orElse(false);
+    if (keyed && head.key().isEmpty()) {
+      return reject(ref, head, ErrorResponse.KEY_MISSING);
+    }
+    InFlightRequest request =
+        new InFlightRequest(
+            ref,
+            head,
+            route.get(),
+            service,
+            keyed,
+            nowMillis,
+            targets.targetMillis(nowMillis, route.get(), head));
+    if (nowMillis >= drainStartMillis && request.deadlineMillis > shutdownDeadlineMillis) {
+      return reject(ref, head, ErrorResponse.NOT_READY);
+    }
+    return Optional.of(request);
+  }
+
+  private Optional<InFlightRequest> reject(RequestRef ref, RequestHead head, ErrorResponse error) {
+    responses.rejectUnrouted(ref, head, error);
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/CrashGuard.java
@@ -0,0 +1,117 @@
+package dev.hornbeamwheel.core.host.request;
+
+import dev.hornbeamwheel.core.host.catalog.Catalog;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
+import dev.hornbeamwheel.core.host.log.LogEntry;
+import dev.hornbeamwheel.core.host.slots.Completion;
+import dev.hornbeamwheel.core.recovery.Evidence;
+import dev.hornbeamwheel.core.recovery.Quarantine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Collects the evidence of this host about requests that crash upstreams, and decides which
+ * requests are refused by the evidence of all hosts.
+ */
+final class CrashGuard {
+  /** Time between two searches for expired evidence, in milliseconds. */
+  private static final long EXPIRE_INTERVAL_MILLIS = 1_000;
+
+  private final Quarantine quarantine;
+  private final CrashDetector detector;
+  private long expireDueMillis;
+
+  CrashGuard(Catalog catalog, Quarantine quarantine) {
+    this.quarantine = quarantine;
+    this.detector = new CrashDetector(catalog);
+  }
+
+  /** Returns whether a request is refused now. */
+  boolean refuses(long nowMillis, InFlightRequest request) {
+    return quarantine.contains(request.head.fingerprint(), nowMillis);
+  }
+
+  /** Returns for how long a request is refused, in milliseconds. */
+  long remainingMillis(long nowMillis, InFlightRequest request) {
+    return quarantine.remainingMillis(request.head.fingerprint(), nowMillis);
+  }
+
+  /** Returns whether a request has ended an upstream, or may have done so. */
+  boolean isSuspect(InFlightRequest request) {
+    long fingerprint = request.head.fingerprint();
+    return quarantine.isSuspect(fingerprint) || detector.isInDoubt(fingerprint);
+  }
+
+  /** Records the end of an attempt at the upstream of a request. */
+  List<RequestEffect> attemptEnded(long nowMillis, InFlightRequest request, AttemptResult result) {
+    long fingerprint = request.head.fingerprint();
+    if (result.completion() == Completion.BROKEN) {
+      detector.connectionLost(nowMillis, request.upstream, fingerprint);
+    } else if (result.completion().hasRun() && quarantine.isSuspect(fingerprint)) {
+      return record(
+          nowMillis,
+          new Evidence(fingerprint, request.upstream.incarnation(), Evidence.Kind.COMPLETED, 0));
+    }
+    return List.of();
+  }
+
+  /** Handles the result of a check whether an upstream runs. */
+  List<RequestEffect> checked(long nowMillis, UpstreamIncarnation incarnation, CheckResult result) {
+    return recordCrash(
+        nowMillis, incarnation, detector.checked(nowMillis, incarnation, result), "refused");
+  }
+
+  /** Adds the evidence of other hosts. */
+  void evidenceReceived(long nowMillis, List<Evidence> evidence) {
+    evidence.forEach(observation -> quarantine.add(observation, nowMillis));
+  }
+
+  /** Allows a request again by the decision of an operator. */
+  List<RequestEffect> lift(long nowMillis, long fingerprint) {
+    return record(nowMillis, Evidence.lifted(fingerprint));
+  }
+
+  /** Starts the checks that are due, and drops expired evidence. */
+  List<RequestEffect> tick(long nowMillis) {
+    if (nowMillis >= expireDueMillis) {
+      expireDueMillis = nowMillis + EXPIRE_INTERVAL_MILLIS;
+      quarantine.expire(nowMillis);
+    }
+    List<RequestEffect> effects = new ArrayList<>();
+    detector
+        .takeSuperseded(nowMillis)
+        .forEach(
+            (incarnation, fingerprints) ->
+                effects.addAll(recordCrash(nowMillis, incarnation, fingerprints, "started again")));
+    detector
+        .startDueChecks(nowMillis)
+        .forEach(
+            upstream ->
+                effects.add(
+                    new RequestEffect.CheckUpstream(upstream.incarnation(), upstream.address())));
+    return effects;
+  }
+
+  private List<RequestEffect> recordCrash(
+      long nowMillis, UpstreamIncarnation incarnation, Set<Long> fingerprints, String evidence) {
+    List<RequestEffect> effects = new ArrayList<>();
+    for (long fingerprint : fingerprints) {
+      effects.add(
+          new RequestEffect.Log(
+              LogEntry.failure("upstream-crashed")
+                  .with("upstream", incarnation.id().value())
+                  .with("fingerprint", Long.toHexString(fingerprint))
+                  .with("evidence", evidence)));
+      effects.addAll(
+          record(nowMillis, new Evidence(fingerprint, incarnation, Evidence.Kind.CRASHED, 0)));
+    }
+    return effects;
+  }
+
+  private List<RequestEffect> record(long nowMillis, Evidence evidence) {
+    return quarantine.add(evidence, nowMillis)
+        ? List.of(new RequestEffect.ReportEvidence(evidence))
+        : List.of();
+  }
+}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/ErrorResponse.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/ErrorResponse.java
@@ -15,6 +15,8 @@
   NO_ROOM,
   /** No response arrived before the deadline; the request may have run. */
   TIMED_OUT,
+  /** Upstreams ended while they ran the same request before; it was not sent. */
+  QUARANTINED,
   /** The upstream sent no usable response; the request may have run. */
   UPSTREAM_FAILED
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
@@ -1,10 +1,13 @@
 package dev.hornbeamwheel.core.host.request;
 
+import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
 import dev.hornbeamwheel.core.host.log.LogEntry;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.recovery.Evidence;
 import java.util.OptionalInt;
 import java.util.Set;
 
@@ -51,6 +54,7 @@
    * @param targetRemainingMillis time until the latency target, in milliseconds; zero if it has
    *     passed
    * @param largeResponse whether the response is expected to be large
+   * @param suspect whether an upstream ended, or may have ended, while it ran the same request
    * @param excludedUpstreams upstreams that this host cannot use now
    */
   record RequestSlot(
@@ -61,6 +65,7 @@
       long remainingMillis,
       long targetRemainingMillis,
       boolean largeResponse,
+      boolean suspect,
       Set<UpstreamId> excludedUpstreams)
       implements RequestEffect {}
 
@@ -86,6 +91,12 @@
       long slotRequestNumber, ServiceId service, OptionalInt key, UpstreamId upstream)
       implements RequestEffect {}
 
+  /** Connects to an upstream to learn whether its process still runs. */
+  record CheckUpstream(UpstreamIncarnation upstream, Address address) implements RequestEffect {}
+
+  /** Reports new evidence about a request that crashes upstreams to all hosts. */
+  record ReportEvidence(Evidence evidence) implements RequestEffect {}
+
   /** Writes a log entry. */
   record Log(LogEntry entry) implements RequestEffect {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -1,23 +1,25 @@
 package dev.hornbeamwheel.core.host.request;
 
 import dev.hornbeamwheel.core.host.catalog.Catalog;
-import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
 import dev.hornbeamwheel.core.host.catalog.RequestKind;
-import dev.hornbeamwheel.core.host.catalog.Route;
-import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
 import dev.hornbeamwheel.core.host.request.InFlightRequest.State;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.recovery.Evidence;
+import dev.hornbeamwheel.core.recovery.Quarantine;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Processes each request of this host from its arrival to its single final response.
@@ -27,49 +29,39 @@
  * known not to have run: the upstream reported so, or no connection could be made.
  */
 public final class RequestFlow {
-  /** Time without a heartbeat after which the coordinator is not used, in milliseconds. */
-  static final long COORDINATOR_TIMEOUT_MILLIS = 450;
-
-  /** Retry delay sent to a caller when no estimate is available, in milliseconds. */
-  private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
-
-  /** Maximum number of attempts for one request, including those that the upstream refused. */
-  private static final int MAX_SENDS = 3;
-
-  /** A retry requires at least the route's latency target divided by this before the deadline. */
-  private static final long MIN_RETRY_TARGET_DIVISOR = 4;
-
   private final Catalog catalog;
+  private final CrashGuard crashGuard;
   private final LocalUpstreamSelector localSelector;
-  private final RetryBudget retryBudget = new RetryBudget();
-  private final WeightedRoundRobin serviceSelector;
-  private final RequestLog log;
-  private final Map<RequestRef, InFlightRequest> inFlight = new HashMap<>();
+  private final RetryPolicy retryPolicy = new RetryPolicy();
+  private final Admission admission;
+  private final CoordinatorContact coordinator = new CoordinatorContact();
+  private final FinalResponses responses;
+  private final Map<RequestRef, InFlightRequest> inFlight;
   private final Map<Long, InFlightRequest> awaitingSlot = new HashMap<>();
-  private final Map<String, Long> longestTimeoutMillis = new HashMap<>();
   private final List<RequestEffect> effects = new ArrayList<>();
-  private boolean coordinatorConnected;
-  private long lastHeartbeatMillis = Long.MIN_VALUE / 2;
   private long nextSlotRequestNumber = 1;
-  private long drainStartMillis = Long.MAX_VALUE;
-  private long shutdownDeadlineMillis = Long.MAX_VALUE;
 
-  private RequestFlow(Catalog catalog, DataCentreId localDataCentre, long seed) {
+  private RequestFlow(
+      Catalog catalog, Quarantine quarantine, DataCentreId localDataCentre, long seed) {
     Random random = new Random(seed);
     this.catalog = catalog;
+    this.crashGuard = new CrashGuard(catalog, quarantine);
     this.localSelector = new LocalUpstreamSelector(catalog, localDataCentre, random);
-    this.serviceSelector = new WeightedRoundRobin(random);
-    this.log = new RequestLog(catalog);
+    this.responses = new FinalResponses(catalog, effects);
+    this.inFlight = responses.inFlight();
+    this.admission = new Admission(catalog, responses, random);
   }
 
   /**
    * Returns a flow without requests.
    *
+   * @param quarantine evidence of all hosts about requests that crash upstreams
    * @param localDataCentre data centre of this host
    * @param seed seed of the random number generator
    */
-  public static RequestFlow create(Catalog catalog, DataCentreId localDataCentre, long seed) {
-    return new RequestFlow(catalog, localDataCentre, seed);
+  public static RequestFlow create(
+      Catalog catalog, Quarantine quarantine, DataCentreId localDataCentre, long seed) {
+    return new RequestFlow(catalog, quarantine, localDataCentre, seed);
   }
 
   /** Returns the number of requests that have no final response yet. */
@@ -79,38 +71,14 @@
 
   /** Admits or rejects a new request of a caller. */
   public List<RequestEffect> requestArrived(long nowMillis, RequestRef ref, RequestHead head) {
-    Optional<FleetConfiguration> configuration = catalog.configuration();
-    if (configuration.isEmpty() || !catalog.loaded()) {
-      rejectUnrouted(ref, head, ErrorResponse.NOT_READY);
-      return drainEffects();
-    }
-    Optional<Route> route = configuration.get().route(head.host(), head.path());
-    if (route.isEmpty()) {
-      rejectUnrouted(ref, head, ErrorResponse.NO_ROUTE);
-      return drainEffects();
-    }
-    ServiceId service = serviceSelector.next(route.get());
-    boolean keyed = configuration.get().service(service).map(ServiceSpec::keyed).orElse(false);
-    if (keyed && head.key().isEmpty()) {
-      rejectUnrouted(ref, head, ErrorResponse.KEY_MISSING);
-      return drainEffects();
-    }
-    InFlightRequest request =
-        new InFlightRequest(
-            ref,
-            head,
-            route.get(),
-            service,
-            keyed,
-            nowMillis,
-            targetMillis(nowMillis, route.get(), head));
-    if (nowMillis >= drainStartMillis && request.deadlineMillis > shutdownDeadlineMillis) {
-      rejectUnrouted(ref, head, ErrorResponse.NOT_READY);
-      return drainEffects();
-    }
-    inFlight.put(ref, request);
-    retryBudget.addTokens(service);
-    requestSlot(nowMillis, request);
+    admission
+        .admit(nowMillis, ref, head)
+        .ifPresent(
+            request -> {
+              inFlight.put(ref, request);
+              retryPolicy.requestArrived(request.service);
+              requestSlot(nowMillis, request);
+            });
     return drainEffects();
   }
 
@@ -122,8 +90,7 @@
    * @param shutdownDeadline latest time at which the process exits
    */
   public void shutdownStarted(long drainStart, long shutdownDeadline) {
-    drainStartMillis = drainStart;
-    shutdownDeadlineMillis = shutdownDeadline;
+    admission.shutdownStarted(drainStart, shutdownDeadline);
   }
 
   /**
@@ -139,11 +106,11 @@
     request.callerDisconnected = true;
     if (request.state == State.AWAITING_SLOT) {
       cancelSlotRequest(request);
-      finish(nowMillis, request, "caller disconnected while waiting for a slot");
+      responses.finish(nowMillis, request, "caller disconnected while waiting for a slot");
     } else if (request.idempotent()) {
       effects.add(new RequestEffect.Abort(ref));
       recordAttemptEnd(nowMillis, request, AttemptResult.withoutResponse(Completion.CANCELLED));
-      finish(nowMillis, request, "caller disconnected");
+      responses.finish(nowMillis, request, "caller disconnected");
     }
     return drainEffects();
   }
@@ -179,7 +146,7 @@
         && request.state == State.AWAITING_SLOT
         && request.slotRequestNumber == slotRequestNumber) {
       request.decidedByCoordinator = true;
-      refuse(nowMillis, request, retryAfterMillis, reason);
+      responses.refuse(nowMillis, request, retryAfterMillis, reason);
     }
     return drainEffects();
   }
@@ -191,19 +158,20 @@
       return drainEffects();
     }
     recordAttemptEnd(nowMillis, request, result);
+    recordEvidence(nowMillis, crashGuard.attemptEnded(nowMillis, request, result));
     if (request.callerDisconnected) {
-      finish(nowMillis, request, "caller disconnected; " + result.completion());
+      responses.finish(nowMillis, request, "caller disconnected; " + result.completion());
       return drainEffects();
     }
     switch (result.completion()) {
-      case SERVED -> forwardResponse(nowMillis, request, result);
+      case SERVED -> responses.forward(nowMillis, request, result);
       case FAILED -> {
         if (!retryPossiblyRun(nowMillis, request, result)) {
-          forwardResponse(nowMillis, request, result);
+          responses.forward(nowMillis, request, result);
         }
       }
       case UNREACHABLE -> retryNotRun(nowMillis, request, true);
-      case NOT_RUN, MISDIRECTED -> retryNotRun(nowMillis, request, acquireRetry(request));
+      case NOT_RUN, MISDIRECTED -> retryNotRun(nowMillis, request, retryPolicy.tryAcquire(request));
       case BROKEN, CANCELLED ->
           retryOrFail(nowMillis, request, result, ErrorResponse.UPSTREAM_FAILED);
       case TIMED_OUT -> retryOrFail(nowMillis, request, result, ErrorResponse.TIMED_OUT);
@@ -212,11 +180,30 @@
     return drainEffects();
   }
 
+  /** Handles the result of a check whether an upstream still runs. */
+  public List<RequestEffect> upstreamChecked(
+      long nowMillis, UpstreamIncarnation upstream, CheckResult result) {
+    recordEvidence(nowMillis, crashGuard.checked(nowMillis, upstream, result));
+    return drainEffects();
+  }
+
+  /** Takes over evidence of other hosts about requests that crash upstreams. */
+  public List<RequestEffect> evidenceReceived(long nowMillis, List<Evidence> evidence) {
+    crashGuard.evidenceReceived(nowMillis, evidence);
+    refuseWaitingQuarantined(nowMillis);
+    return drainEffects();
+  }
+
+  /** Allows a request again that is refused because it crashed upstreams. */
+  public List<RequestEffect> quarantineLifted(long nowMillis, long fingerprint) {
+    recordEvidence(nowMillis, crashGuard.lift(nowMillis, fingerprint));
+    return drainEffects();
+  }
+
   /** Handles an established connection to the coordinator; reports the running requests to it. */
   public List<RequestEffect> coordinatorConnected(long nowMillis) {
-    coordinatorConnected = true;
-    lastHeartbeatMillis = nowMillis;
-    log.coordinatorConnected(nowMillis);
+    coordinator.connected(nowMillis);
+    responses.log().coordinatorConnected(nowMillis);
     inFlight.values().stream()
         .filter(request -> request.state == State.RUNNING)
         .forEach(
@@ -234,7 +221,7 @@
 
   /** Handles a lost connection to the coordinator; selects an upstream for each waiting request. */
   public List<RequestEffect> coordinatorLost(long nowMillis) {
-    coordinatorConnected = false;
+    coordinator.lost();
     inFlight.values().forEach(request -> request.decidedByCoordinator = false);
     selectAllLocally(nowMillis);
     return drainEffects();
@@ -242,8 +229,8 @@
 
   /** Records a heartbeat of the coordinator. */
   public void heartbeatReceived(long nowMillis, long term, int hostCount) {
-    lastHeartbeatMillis = nowMillis;
-    log.heartbeatReceived(nowMillis, term);
+    coordinator.heartbeatReceived(nowMillis);
+    responses.log().heartbeatReceived(nowMillis, term);
     localSelector.updateHostCount(hostCount);
   }
 
@@ -268,9 +255,10 @@
    * upstreams locally for the requests that wait for a slot.
    */
   public List<RequestEffect> tick(long nowMillis) {
-    if (!awaitingSlot.isEmpty() && !coordinatorUsable(nowMillis)) {
+    if (!awaitingSlot.isEmpty() && !coordinator.usable(nowMillis)) {
       selectAllLocally(nowMillis);
     }
+    recordEvidence(nowMillis, crashGuard.tick(nowMillis));
     List.copyOf(inFlight.values()).stream()
         .filter(request -> nowMillis >= request.deadlineMillis)
         .forEach(request -> expire(nowMillis, request));
@@ -280,37 +268,29 @@
   private void expire(long nowMillis, InFlightRequest request) {
     if (request.state == State.AWAITING_SLOT) {
       cancelSlotRequest(request);
-      refuse(nowMillis, request, DEFAULT_RETRY_AFTER_MILLIS, "deadline passed without a slot");
+      responses.refuse(
+          nowMillis,
+          request,
+          FinalResponses.DEFAULT_RETRY_AFTER_MILLIS,
+          "deadline passed without a slot");
       return;
     }
     effects.add(new RequestEffect.Abort(request.ref));
     recordAttemptEnd(nowMillis, request, AttemptResult.withoutResponse(Completion.TIMED_OUT));
-    respondWithError(
+    responses.respondWithError(
         nowMillis, request, ErrorResponse.TIMED_OUT, 0, "no answer before the deadline");
   }
 
-  /**
-   * Returns the time by which the caller wants the response.
-   *
-   * <p>A timeout below the longest one seen on the route is taken as a retry by a caller that has
-   * already waited for the difference.
-   */
-  private long targetMillis(long nowMillis, Route route, RequestHead head) {
-    long longest = longestTimeoutMillis.merge(route.name(), head.timeoutMillis(), Math::max);
-    long elapsedMillis = longest - head.timeoutMillis();
-    return nowMillis + Math.max(0, route.targetLatencyMillis() - elapsedMillis);
-  }
-
-  private boolean coordinatorUsable(long nowMillis) {
-    return coordinatorConnected && nowMillis - lastHeartbeatMillis < COORDINATOR_TIMEOUT_MILLIS;
-  }
-
   private void requestSlot(long nowMillis, InFlightRequest request) {
     request.state = State.AWAITING_SLOT;
+    if (crashGuard.refuses(nowMillis, request)) {
+      refuseQuarantined(nowMillis, request);
+      return;
+    }
     request.decidedByCoordinator = false;
     request.slotRequestNumber = nextSlotRequestNumber++;
     request.slotRequestedMillis = nowMillis;
-    if (!coordinatorUsable(nowMillis)) {
+    if (!coordinator.usable(nowMillis)) {
       selectLocally(nowMillis, request);
       return;
     }
@@ -327,6 +307,7 @@
             request.deadlineMillis - nowMillis,
             Math.max(0, request.targetMillis - nowMillis),
             request.route.kind() == RequestKind.IDEMPOTENT_LARGE,
+            crashGuard.isSuspect(request),
             request.excludedUpstreams));
   }
 
@@ -340,13 +321,36 @@
   }
 
   private void selectLocally(long nowMillis, InFlightRequest request) {
+    Set<UpstreamId> withSuspects = upstreamsClosedTo(request);
+    Set<UpstreamId> excluded = new HashSet<>(request.excludedUpstreams);
+    excluded.addAll(withSuspects);
     Optional<UpstreamRegistration> selected =
-        localSelector.select(nowMillis, request.service, request.key(), request.excludedUpstreams);
+        localSelector
+            .select(nowMillis, request.service, request.key(), excluded)
+            .filter(upstream -> !withSuspects.contains(upstream.id()));
     if (selected.isPresent()) {
       send(nowMillis, request, selected.get());
     } else {
-      refuse(nowMillis, request, DEFAULT_RETRY_AFTER_MILLIS, "no upstream in reach has room");
+      responses.refuse(
+          nowMillis,
+          request,
+          FinalResponses.DEFAULT_RETRY_AFTER_MILLIS,
+          "no upstream in reach has room");
+    }
+  }
+
+  /**
+   * Returns the upstreams that must not run a request because it and a request there may each have
+   * ended an upstream: such requests run apart from each other.
+   */
+  private Set<UpstreamId> upstreamsClosedTo(InFlightRequest request) {
+    if (!crashGuard.isSuspect(request)) {
+      return Set.of();
     }
+    return inFlight.values().stream()
+        .filter(other -> other.state == State.RUNNING && crashGuard.isSuspect(other))
+        .map(other -> other.upstream.id())
+        .collect(Collectors.toSet());
   }
 
   private void cancelSlotRequest(InFlightRequest request) {
@@ -361,7 +365,11 @@
       if (request.decidedByCoordinator) {
         effects.add(RequestEffect.ReleaseSlot.unused(request.slotRequestNumber, upstream.id()));
       }
-      refuse(nowMillis, request, DEFAULT_RETRY_AFTER_MILLIS, "deadline passed before sending");
+      responses.refuse(
+          nowMillis,
+          request,
+          FinalResponses.DEFAULT_RETRY_AFTER_MILLIS,
+          "deadline passed before sending");
       return;
     }
     request.state = State.RUNNING;
@@ -396,23 +404,23 @@
               result.relativeWorkPercent()));
     }
     if (result.completion() != Completion.SERVED) {
-      effects.add(log.attemptFailed(nowMillis, request, result));
+      effects.add(responses.log().attemptFailed(nowMillis, request, result));
     }
   }
 
-  private boolean acquireRetry(InFlightRequest request) {
-    return request.sendCount < MAX_SENDS && retryBudget.tryAcquire(request.service);
-  }
-
   /** Requests another slot for a request that did not run, or refuses the request. */
   private void retryNotRun(long nowMillis, InFlightRequest request, boolean retryAllowed) {
     if (request.upstream != null && !request.keyed) {
       request.excludedUpstreams.add(request.upstream.id());
     }
-    if (retryAllowed && request.sendCount < MAX_SENDS && nowMillis < request.deadlineMillis) {
+    if (retryAllowed && retryPolicy.hasSendsLeft(request) && nowMillis < request.deadlineMillis) {
       requestSlot(nowMillis, request);
     } else {
-      refuse(nowMillis, request, DEFAULT_RETRY_AFTER_MILLIS, "upstreams did not run the request");
+      responses.refuse(
+          nowMillis,
+          request,
+          FinalResponses.DEFAULT_RETRY_AFTER_MILLIS,
+          "upstreams did not run the request");
     }
   }
 
@@ -420,12 +428,7 @@
   private boolean retryPossiblyRun(long nowMillis, InFlightRequest request, AttemptResult result) {
     request.mayHaveRun = true;
     request.possibleRunCount++;
-    long remainingMillis = request.deadlineMillis - nowMillis;
-    if (!request.idempotent()
-        || request.possibleRunCount >= request.route.maxAttempts()
-        || remainingMillis < request.route.targetLatencyMillis() / MIN_RETRY_TARGET_DIVISOR
-        || result.completion() == Completion.TIMED_OUT
-        || !acquireRetry(request)) {
+    if (!retryPolicy.tryAcquireAfterRun(nowMillis, request, result)) {
       return false;
     }
     if (!request.keyed) {
@@ -438,57 +441,35 @@
   private void retryOrFail(
       long nowMillis, InFlightRequest request, AttemptResult result, ErrorResponse error) {
     if (!retryPossiblyRun(nowMillis, request, result)) {
-      respondWithError(nowMillis, request, error, 0, "attempt failed: " + result.completion());
+      responses.respondWithError(
+          nowMillis, request, error, 0, "attempt failed: " + result.completion());
     }
   }
 
-  private void forwardResponse(long nowMillis, InFlightRequest request, AttemptResult result) {
-    if (result.promisesNotRun() && !request.idempotent()) {
-      respondWithError(nowMillis, request, ErrorResponse.UPSTREAM_FAILED, 0, "may have run");
-    } else {
-      effects.add(new RequestEffect.ForwardResponse(request.ref));
-      finish(nowMillis, request, "answered " + result.status());
-    }
+  /** Rejects a request that ended upstreams before; the response promises nothing. */
+  private void refuseQuarantined(long nowMillis, InFlightRequest request) {
+    String reason =
+        "ended upstreams before; refused for "
+            + crashGuard.remainingMillis(nowMillis, request)
+            + " ms";
+    responses.respondWithError(nowMillis, request, ErrorResponse.QUARANTINED, 0, reason);
   }
 
-  /**
-   * Responds to a request that gets no slot. The response of a request that may have run in an
-   * earlier attempt does not report it as not run.
-   */
-  private void refuse(
-      long nowMillis, InFlightRequest request, long retryAfterMillis, String reason) {
-    if (request.mayHaveRun) {
-      respondWithError(nowMillis, request, ErrorResponse.UPSTREAM_FAILED, 0, reason);
-    } else {
-      respondWithError(nowMillis, request, ErrorResponse.NO_ROOM, retryAfterMillis, reason);
+  private void recordEvidence(long nowMillis, List<RequestEffect> evidence) {
+    effects.addAll(evidence);
+    if (!evidence.isEmpty()) {
+      refuseWaitingQuarantined(nowMillis);
     }
   }
 
-  private void respondWithError(
-      long nowMillis,
-      InFlightRequest request,
-      ErrorResponse error,
-      long retryAfterMillis,
-      String reason) {
-    effects.add(
-        new RequestEffect.RespondWithError(
-            request.ref, error, retryAfterMillis, request.decidedByCoordinator));
-    inFlight.remove(request.ref);
-    effects.add(log.failed(nowMillis, request, error, retryAfterMillis, reason));
-  }
-
-  private void finish(long nowMillis, InFlightRequest request, String outcome) {
-    inFlight.remove(request.ref);
-    if (request.callerDisconnected) {
-      effects.add(new RequestEffect.Discard(request.ref));
-    }
-    effects.add(log.ended(nowMillis, request, outcome));
-  }
-
-  private void rejectUnrouted(RequestRef ref, RequestHead head, ErrorResponse error) {
-    long retryAfterMillis = error == ErrorResponse.NOT_READY ? DEFAULT_RETRY_AFTER_MILLIS : 0;
-    effects.add(new RequestEffect.RespondWithError(ref, error, retryAfterMillis, false));
-    effects.add(log.unrouted(head, error));
+  private void refuseWaitingQuarantined(long nowMillis) {
+    List.copyOf(awaitingSlot.values()).stream()
+        .filter(request -> crashGuard.refuses(nowMillis, request))
+        .forEach(
+            request -> {
+              cancelSlotRequest(request);
+              refuseQuarantined(nowMillis, request);
+            });
   }
 
   private List<RequestEffect> drainEffects() {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestHead.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestHead.java
@@ -10,6 +10,13 @@
  * @param path request path without the query
  * @param key the shard key, or empty if the request has none
  * @param timeoutMillis time that the caller waits, in milliseconds from the arrival of the request
+ * @param fingerprint hash of what the request asks for; equal for each copy of it, whatever its
+ *     attempt id
  */
 public record RequestHead(
-    String attemptId, String host, String path, OptionalInt key, long timeoutMillis) {}
+    String attemptId,
+    String host,
+    String path,
+    OptionalInt key,
+    long timeoutMillis,
+    long fingerprint) {}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
@@ -73,6 +73,7 @@
   private LogEntry describe(LogEntry entry, long nowMillis, InFlightRequest request) {
     entry
         .with("request", request.head.attemptId())
+        .with("fingerprint", Long.toHexString(request.head.fingerprint()))
         .with("route", request.route.name())
         .with("service", request.service.value())
         .with("key", request.key().orElse(-1))
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/Completion.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/Completion.java
@@ -32,6 +32,11 @@
     return code;
   }
 
+  /** Returns whether an upstream has run the request and answered it. */
+  public boolean hasRun() {
+    return this == SERVED || this == FAILED;
+  }
+
   /** Returns the completion with a code, or {@link #BROKEN} for an unknown code. */
   public static Completion ofCode(int code) {
     return Arrays.stream(values())
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -126,11 +126,12 @@
 
   /** Records a running request whose slot was granted by an earlier coordinator. */
   public void recordHeldSlot(long nowMillis, SlotRequestId requestId, UpstreamId upstream) {
-    catalog.upstream(upstream).ifPresent(entry -> occupySlot(nowMillis, requestId, entry));
+    catalog.upstream(upstream).ifPresent(entry -> occupySlot(nowMillis, requestId, entry, false));
   }
 
-  private void occupySlot(long nowMillis, SlotRequestId requestId, UpstreamRegistration entry) {
-    loads.recordStart(nowMillis, requestId, entry);
+  private void occupySlot(
+      long nowMillis, SlotRequestId requestId, UpstreamRegistration entry, boolean suspect) {
+    loads.recordStart(nowMillis, requestId, entry, suspect);
     upstreamsInUse.put(requestId, entry.id());
   }
 
@@ -206,7 +207,8 @@
       } else if (!full) {
         Optional<UpstreamRegistration> selected = loads.cheapest(nowMillis, request);
         selected.ifPresent(entry -> grant(nowMillis, request, entry));
-        full = selected.isEmpty() && request.excludedUpstreams().isEmpty();
+        boolean anyUpstream = request.excludedUpstreams().isEmpty() && !request.suspect();
+        full = selected.isEmpty() && anyUpstream;
       }
     }
   }
@@ -230,12 +232,12 @@
         .holder(nowMillis, request.service(), request.key().orElseThrow())
         .filter(holder -> !request.excludedUpstreams().contains(holder))
         .flatMap(catalog::upstream)
-        .filter(entry -> catalog.usable(entry) && loads.canStart(nowMillis, entry));
+        .filter(entry -> catalog.usable(entry) && loads.canStart(nowMillis, entry, request));
   }
 
   private void grant(long nowMillis, SlotRequest request, UpstreamRegistration entry) {
     queue(request.service()).remove(request.id());
-    occupySlot(nowMillis, request.id(), entry);
+    occupySlot(nowMillis, request.id(), entry, request.suspect());
     long fencingToken =
         request.key().isPresent()
             ? keyLookup.fencingToken(request.service(), request.key().getAsInt())
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotRequest.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotRequest.java
@@ -19,6 +19,7 @@
  * @param deadlineMillis time at which the caller stops waiting or the route's timeout expires
  * @param targetMillis time by which the caller wants the response
  * @param largeResponse whether the response is expected to be large
+ * @param suspect whether an upstream ended, or may have ended, while it ran the same request
  * @param excludedUpstreams upstreams that the host cannot use now
  */
 public record SlotRequest(
@@ -32,6 +33,7 @@
     long deadlineMillis,
     long targetMillis,
     boolean largeResponse,
+    boolean suspect,
     Set<UpstreamId> excludedUpstreams) {
   /** Copies the set of excluded upstreams. */
   public SlotRequest {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoad.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoad.java
@@ -1,7 +1,9 @@
 package dev.hornbeamwheel.core.host.slots;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /** The coordinator's view of the load and the health of one upstream. */
 final class UpstreamLoad {
@@ -32,6 +34,7 @@
   private static final double MAX_COLD_TOKENS = 1;
 
   private final Map<SlotRequestId, Long> startMillisByRequest = new HashMap<>();
+  private final Set<SlotRequestId> runningSuspects = new HashSet<>();
   private double meanRunMillis;
   private double failureRate;
   private double noResponseRate;
@@ -75,6 +78,11 @@
     return !cold || coldPerSecond <= 0 || coldTokens(nowMillis, coldPerSecond) >= 1;
   }
 
+  /** Returns whether a request runs that may have ended another upstream. */
+  boolean runsSuspect() {
+    return !runningSuspects.isEmpty();
+  }
+
   private double coldTokens(long nowMillis, double perSecond) {
     double refill = (nowMillis - coldRefilledMillis) * perSecond / 1_000;
     coldTokens = Math.min(MAX_COLD_TOKENS, coldTokens + refill);
@@ -82,8 +90,11 @@
     return coldTokens;
   }
 
-  void recordStart(long nowMillis, SlotRequestId requestId, boolean cold) {
+  void recordStart(long nowMillis, SlotRequestId requestId, boolean cold, boolean suspect) {
     startMillisByRequest.put(requestId, nowMillis);
+    if (suspect) {
+      runningSuspects.add(requestId);
+    }
     if (cold) {
       coldTokens -= 1;
     }
@@ -98,6 +109,7 @@
     if (startMillisByRequest.remove(requestId) == null) {
       return;
     }
+    runningSuspects.remove(requestId);
     if (currentWorkPercent > 0) {
       relativeWorkPercent = currentWorkPercent;
       relativeWorkReportedMillis = nowMillis;
@@ -129,6 +141,7 @@
 
   void removeAll(LinkId link) {
     startMillisByRequest.keySet().removeIf(requestId -> requestId.link().equals(link));
+    runningSuspects.removeIf(requestId -> requestId.link().equals(link));
   }
 
   private void recordFailure(boolean noResponse) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoads.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoads.java
@@ -48,8 +48,9 @@
         entry.id(), id -> new UpstreamLoad(initialRunMillis.applyAsDouble(entry.service())));
   }
 
-  void recordStart(long nowMillis, SlotRequestId requestId, UpstreamRegistration entry) {
-    load(entry).recordStart(nowMillis, requestId, entry.cold(nowMillis));
+  void recordStart(
+      long nowMillis, SlotRequestId requestId, UpstreamRegistration entry, boolean suspect) {
+    load(entry).recordStart(nowMillis, requestId, entry.cold(nowMillis), suspect);
   }
 
   /** Removes the running requests of a host. */
@@ -72,12 +73,21 @@
     return load(entry).canStart(nowMillis, entry.slots(), cold, coldPerSecond);
   }
 
+  /**
+   * Returns whether an upstream can start a request now. Suspects run apart from each other, so
+   * that none of them is taken for the cause when another ends the upstream.
+   */
+  boolean canStart(long nowMillis, UpstreamRegistration entry, SlotRequest request) {
+    return canStart(nowMillis, entry) && !(request.suspect() && load(entry).runsSuspect());
+  }
+
   /** Returns the upstream that can start a request without a key at the lowest cost. */
   Optional<UpstreamRegistration> cheapest(long nowMillis, SlotRequest request) {
     UpstreamRegistration cheapest = null;
     double lowestCost = Double.POSITIVE_INFINITY;
     for (UpstreamRegistration entry : catalog.usable(request.service())) {
-      if (!request.excludedUpstreams().contains(entry.id()) && canStart(nowMillis, entry)) {
+      if (!request.excludedUpstreams().contains(entry.id())
+          && canStart(nowMillis, entry, request)) {
         double cost = cost(nowMillis, request, entry);
         if (cost < lowestCost) {
           cheapest = entry;
--- a/core/src/main/java/dev/hornbeamwheel/core/node/EvidenceItems.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/node/EvidenceItems.java
@@ -14,7 +14,7 @@
     String name =
         Long.toHexString(evidence.fingerprint())
             + "/"
-            + evidence.upstream()
+            + evidence.upstream().id()
             + "/"
             + evidence.kind();
     return new Item(
--- a/core/src/main/java/dev/hornbeamwheel/core/recovery/Evidence.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/recovery/Evidence.java
@@ -1,9 +1,9 @@
 package dev.hornbeamwheel.core.recovery;
 
-import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 
 /**
- * One observation about a request fingerprint, sent to all members by gossip.
+ * One observation about a request fingerprint, sent to all members.
  *
  * <p>Members merge evidence as a set, so the order of arrival does not matter.
  *
@@ -12,12 +12,19 @@
  * @param kind what was observed
  * @param ageMillis time since the observation, in milliseconds; grows with each relay
  */
-public record Evidence(long fingerprint, UpstreamId upstream, Kind kind, long ageMillis) {
-  /** Outcome of a request on an upstream. */
+public record Evidence(long fingerprint, UpstreamIncarnation upstream, Kind kind, long ageMillis) {
+  /** Kind of an observation. */
   public enum Kind {
-    /** The upstream failed while it ran the request. */
+    /** The upstream ended while it ran the request. */
     CRASHED,
     /** The upstream completed the request. */
-    COMPLETED
+    COMPLETED,
+    /** An operator allowed the request again; the upstream has no meaning. */
+    LIFTED
+  }
+
+  /** Returns an operator's decision to allow a request again. */
+  public static Evidence lifted(long fingerprint) {
+    return new Evidence(fingerprint, UpstreamIncarnation.NONE, Kind.LIFTED, 0);
   }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/AttemptExecutor.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/AttemptExecutor.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.core.routing;
 
 import dev.hornbeamwheel.core.dispatch.DispatchMessage.UseResult;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import dev.hornbeamwheel.core.recovery.Evidence;
 import dev.hornbeamwheel.core.routing.RequestState.Phase;
@@ -144,7 +145,7 @@
     return context.acceptsWork(slot.upstream)
         && nowMillis < request.deadlineMillis()
         && lifecycle.isOwnerCurrent(request)
-        && !context.quarantine().contains(request.arrival.fingerprint());
+        && !context.quarantine().contains(request.arrival.fingerprint(), nowMillis);
   }
 
   private void call(RequestState request, Attempt attempt) {
@@ -211,7 +212,9 @@
 
   private void broadcastEvidence(
       long nowMillis, RequestState request, UpstreamId upstream, Evidence.Kind kind) {
-    Evidence evidence = new Evidence(request.arrival.fingerprint(), upstream, kind, 0);
+    Evidence evidence =
+        new Evidence(
+            request.arrival.fingerprint(), UpstreamIncarnation.ofUnknownStart(upstream), kind, 0);
     if (faults != RoutingFaults.NO_QUARANTINE && context.quarantine().add(evidence, nowMillis)) {
       context.outbox().add(new RoutingEffect.BroadcastEvidence(evidence));
     }
--- a/core/src/main/java/dev/hornbeamwheel/core/routing/RequestLifecycle.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/routing/RequestLifecycle.java
@@ -85,7 +85,7 @@
       end(nowMillis, request, Outcome.NOT_RUN, ProblemKind.DEADLINE);
       return;
     }
-    if (context.quarantine().contains(request.arrival.fingerprint())) {
+    if (context.quarantine().contains(request.arrival.fingerprint(), nowMillis)) {
       end(nowMillis, request, Outcome.NOT_RUN, ProblemKind.QUARANTINED);
       return;
     }
@@ -258,7 +258,7 @@
     if (request.service.keyed() && request.arrival.key() == null) {
       return ProblemKind.KEY_REQUIRED;
     }
-    if (context.quarantine().contains(request.arrival.fingerprint())) {
+    if (context.quarantine().contains(request.arrival.fingerprint(), request.arrival.atMillis())) {
       return ProblemKind.QUARANTINED;
     }
     return requests.size() >= MAX_REQUESTS_IN_FLIGHT ? ProblemKind.QUEUE_FULL : ProblemKind.NONE;
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyLoadSimulation.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyLoadSimulation.java
@@ -118,6 +118,7 @@
             now + DEADLINE_MILLIS,
             now + TARGET_MILLIS,
             false,
+            false,
             Set.of());
     waiting.put(ask.number(), ask);
     perform(broker.requestSlot(now, ask));
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatingHostTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatingHostTest.java
@@ -118,7 +118,15 @@
             now,
             OTHER_HOST,
             new HostMessage.SlotRequest(
-                1, LEDGER, OptionalInt.of(KEY), 0, 2_000, 500, false, Set.of(UpstreamId.of("a")))));
+                1,
+                LEDGER,
+                OptionalInt.of(KEY),
+                0,
+                2_000,
+                500,
+                false,
+                false,
+                Set.of(UpstreamId.of("a")))));
 
     assertThat(sentToHosts).noneMatch(message -> message instanceof HostMessage.SlotGrant);
   }
@@ -142,7 +150,8 @@
         new HostEvent.RequestArrived(
             now,
             new RequestRef(number),
-            new RequestHead("id-" + number, "shop.example", "/p", OptionalInt.of(KEY), 2_000)));
+            new RequestHead(
+                "id-" + number, "shop.example", "/p", OptionalInt.of(KEY), 2_000, number)));
   }
 
   private List<RequestEffect.Send> sends() {
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
@@ -19,6 +19,7 @@
 import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.recovery.Quarantine;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -55,7 +56,8 @@
             0,
             1,
             new HostIdentity(HostId.of("e-1"), VANNES, ADDRESS, HostCapacity.unknown(), 10_000, 1),
-            catalog);
+            catalog,
+            Quarantine.empty());
     coordinator.receive(
         0, LINK, new HostMessage.Hello(HostId.of("e-2"), VANNES, HostCapacity.unknown()));
   }
@@ -89,7 +91,8 @@
     coordinator.tableWritten(nowMillis, LEDGER, new TableWriteResult.Written(1));
     KeyEffect.Grant grant = tickUntil(KeyEffect.Grant.class);
     HostMessage.SlotRequest request =
-        new HostMessage.SlotRequest(9, LEDGER, OptionalInt.of(7), 1, 1_200, 600, false, Set.of());
+        new HostMessage.SlotRequest(
+            9, LEDGER, OptionalInt.of(7), 1, 1_200, 600, false, false, Set.of());
     assertThat(coordinator.receive(nowMillis, LINK, request)).isEmpty();
 
     List<HostEffect> effects =
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/HostSimulation.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/HostSimulation.java
@@ -4,14 +4,21 @@
 import dev.hornbeamwheel.core.host.catalog.CallerLimits;
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.lease.LeaseEffect;
 import dev.hornbeamwheel.core.host.lease.LeaseRead;
 import dev.hornbeamwheel.core.host.lease.LeaseRow;
 import dev.hornbeamwheel.core.host.lease.LeaseWrite;
+import dev.hornbeamwheel.core.host.request.AttemptResult;
+import dev.hornbeamwheel.core.host.request.CheckResult;
+import dev.hornbeamwheel.core.host.request.RequestEffect;
+import dev.hornbeamwheel.core.host.request.RequestHead;
+import dev.hornbeamwheel.core.host.request.RequestRef;
 import dev.hornbeamwheel.core.host.slots.LinkId;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
+import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -48,6 +55,9 @@
     /** The changes that the host took over from the coordinator. */
     final List<TableChanges> takenOver = new ArrayList<>();
 
+    /** The effects of requests at this host. */
+    final List<RequestEffect> requestEffects = new ArrayList<>();
+
     private Host(int index, HostCapacity capacity, long seed) {
       this.index = index;
       this.capacity = capacity;
@@ -73,6 +83,21 @@
       reduce(new HostEvent.TableChangesRead(nowMillis, changes));
     }
 
+    /** Reports the arrival of a request. */
+    void requestArrives(RequestRef ref, RequestHead head) {
+      reduce(new HostEvent.RequestArrived(nowMillis, ref, head));
+    }
+
+    /** Reports the end of an attempt for a request. */
+    void attemptEnds(RequestRef ref, AttemptResult result) {
+      reduce(new HostEvent.AttemptEnded(nowMillis, ref, result));
+    }
+
+    /** Reports an operator's decision to allow a request again. */
+    void quarantineLifted(long fingerprint) {
+      reduce(new HostEvent.QuarantineLifted(nowMillis, fingerprint));
+    }
+
     boolean isCoordinator() {
       return !crashed && node.coordinating();
     }
@@ -83,6 +108,9 @@
   private final List<Host> hosts = new ArrayList<>();
   private final PriorityQueue<Task> tasks =
       new PriorityQueue<>(Comparator.comparingLong(Task::atMillis).thenComparingLong(Task::order));
+  private FleetConfiguration configuration =
+      FleetConfiguration.of(1, List.of(), List.of(), new CallerLimits(1, 1, 1, 1));
+  private List<UpstreamRegistration> upstreams = List.of();
   private Optional<LeaseRow> leaseRow = Optional.empty();
   private long leaseVersion;
   private long nextTaskOrder;
@@ -90,6 +118,9 @@
   private long nowMillis;
   private boolean strongHostsMayWrite = true;
 
+  /** What hosts learn when they check whether an upstream runs. */
+  CheckResult checkResult = CheckResult.REFUSED;
+
   /** Number of times that a host logged that it won the lease. */
   int leaseWins;
 
@@ -102,15 +133,24 @@
     return new Address("10.0.0." + index, 80);
   }
 
+  /** Declares the configuration and the upstreams of the hosts that are started from now on. */
+  void declare(FleetConfiguration declared, List<UpstreamRegistration> registrations) {
+    configuration = declared;
+    upstreams = registrations;
+  }
+
+  /** Removes the registration of an upstream. */
+  void removeUpstream(UpstreamId id) {
+    upstreams = upstreams.stream().filter(upstream -> !upstream.id().equals(id)).toList();
+    hosts.forEach(host -> host.reduce(new HostEvent.UpstreamRemoved(nowMillis, id)));
+  }
+
   /** Starts a host with a capacity in points. */
   Host startHost(int capacity) {
     Host host = new Host(hosts.size() + 1, new HostCapacity(capacity), seed);
     hosts.add(host);
-    host.reduce(
-        new HostEvent.ConfigurationRead(
-            nowMillis,
-            FleetConfiguration.of(1, List.of(), List.of(), new CallerLimits(1, 1, 1, 1))));
-    host.reduce(new HostEvent.UpstreamsRead(nowMillis, List.of()));
+    host.reduce(new HostEvent.ConfigurationRead(nowMillis, configuration));
+    host.reduce(new HostEvent.UpstreamsRead(nowMillis, upstreams));
     host.reduce(new HostEvent.EvacuationsRead(nowMillis, Set.of()));
     return host;
   }
@@ -210,6 +250,8 @@
       sendToHost(host.hostLinks.get(send.link()), send.message());
     } else if (effect instanceof HostEffect.FollowCoordinator follow) {
       host.followsCoordinator = follow.heard();
+    } else if (effect instanceof HostEffect.Request request) {
+      performRequest(host, request.effect());
     } else if (effect instanceof HostEffect.TakeOverChanges take) {
       host.takenOver.add(take.changes());
     } else if (effect instanceof HostEffect.Log line && line.entry().event().equals("lease-won")) {
@@ -217,6 +259,16 @@
     }
   }
 
+  private void performRequest(Host host, RequestEffect effect) {
+    host.requestEffects.add(effect);
+    if (effect instanceof RequestEffect.CheckUpstream check) {
+      schedule(
+          MESSAGE_DELAY_MILLIS,
+          () ->
+              host.reduce(new HostEvent.UpstreamChecked(nowMillis, check.upstream(), checkResult)));
+    }
+  }
+
   private void sendToHost(Link link, HostMessage message) {
     if (link != null) {
       schedule(
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
@@ -27,7 +27,8 @@
             entry(HostMessage.SlotRefusal.class, "Refuse"),
             entry(HostMessage.KeyMap.class, "KeyMap"),
             entry(HostMessage.KeyMapChange.class, "KeyMapChange"),
-            entry(HostMessage.CatalogChange.class, "CatalogChange"));
+            entry(HostMessage.CatalogChange.class, "CatalogChange"),
+            entry(HostMessage.CrashEvidence.class, "CrashEvidence"));
   }
 
   @Test
@@ -56,6 +57,8 @@
             entry(HostEvent.RequestArrived.class, "RequestArrived"),
             entry(HostEvent.CallerDisconnected.class, "CallerLeft"),
             entry(HostEvent.AttemptEnded.class, "AttemptEnded"),
+            entry(HostEvent.UpstreamChecked.class, "UpstreamChecked"),
+            entry(HostEvent.QuarantineLifted.class, "QuarantineLifted"),
             entry(HostEvent.Stopping.class, "Stopping"));
   }
 
--- a/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
@@ -16,6 +16,7 @@
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.recovery.Quarantine;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
@@ -32,7 +33,8 @@
   private static final DataCentreId VANNES = DataCentreId.of("vannes");
 
   private final Catalog catalog = Catalog.empty();
-  private final RequestFlow flow = RequestFlow.create(catalog, VANNES, 1);
+  private final Quarantine quarantine = Quarantine.empty();
+  private final RequestFlow flow = RequestFlow.create(catalog, quarantine, VANNES, 1);
   private final List<RequestEffect> effects = new ArrayList<>();
 
   private void configure() {
@@ -88,7 +90,13 @@
         flow.requestArrived(
             now,
             ref,
-            new RequestHead("id-" + number, "shop.example", path, OptionalInt.empty(), 2_500)));
+            new RequestHead(
+                "id-" + number,
+                "shop.example",
+                path,
+                OptionalInt.empty(),
+                2_500,
+                path.hashCode())));
     return ref;
   }
 
@@ -283,7 +291,7 @@
     sendRequest(1, "/order/1");
     assertThat(effectsOf(RequestEffect.RequestSlot.class)).hasSize(1);
 
-    collect(flow.tick(RequestFlow.COORDINATOR_TIMEOUT_MILLIS));
+    collect(flow.tick(CoordinatorContact.TIMEOUT_MILLIS));
 
     assertThat(effectsOf(RequestEffect.CancelSlotRequest.class)).hasSize(1);
     assertThat(effectsOf(RequestEffect.Send.class)).hasSize(1);
--- a/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerFleetTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerFleetTest.java
@@ -105,6 +105,7 @@
             now + 10_000,
             now + 600,
             false,
+            false,
             Set.of());
     effects.addAll(broker.requestSlot(now, request));
   }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerFuzzTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerFuzzTest.java
@@ -157,6 +157,7 @@
               nowMillis + 1_000_000,
               nowMillis + 900_000,
               false,
+              false,
               Set.of());
       waiting.put(request.number(), request);
       return broker.requestSlot(nowMillis, request);
--- a/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerTest.java
@@ -109,6 +109,7 @@
                 now + 1_200,
                 now + 600,
                 large,
+                false,
                 Set.of())));
     return number;
   }
--- a/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/CallerServer.java
@@ -14,6 +14,7 @@
 import dev.hornbeamwheel.wire.http.AnswerLimits;
 import dev.hornbeamwheel.wire.http.Call;
 import dev.hornbeamwheel.wire.http.CallResult;
+import dev.hornbeamwheel.wire.http.ConnectionCheck;
 import dev.hornbeamwheel.wire.http.HttpCaller;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -195,7 +196,7 @@
   Exchange createExchange(CallerConnection connection, FullHttpRequest request, boolean keepAlive) {
     RequestRef ref = new RequestRef(nextRef++);
     RequestHead head = CallerProtocol.requestHead(request);
-    Exchange exchange = new Exchange(ref, connection, request, head.attemptId(), keepAlive);
+    Exchange exchange = new Exchange(ref, connection, request, head, keepAlive);
     exchanges.put(ref, exchange);
     return exchange;
   }
@@ -217,9 +218,7 @@
       exchange.request().release();
       return;
     }
-    events.accept(
-        new HostEvent.RequestArrived(
-            clock.millis(), exchange.ref(), CallerProtocol.requestHead(exchange.request())));
+    events.accept(new HostEvent.RequestArrived(clock.millis(), exchange.ref(), exchange.head()));
   }
 
   void callerDisconnected(Exchange exchange) {
@@ -289,6 +288,14 @@
         exchange.releaseUpstreamResponse();
         exchange.request().release();
       }
+    } else if (effect instanceof RequestEffect.CheckUpstream check) {
+      ConnectionCheck.start(
+          loop,
+          check.address(),
+          CONNECT_TIMEOUT_MILLIS,
+          result ->
+              events.accept(
+                  new HostEvent.UpstreamChecked(clock.millis(), check.upstream(), result)));
     } else if (effect instanceof RequestEffect.Abort abort) {
       Exchange exchange = exchanges.get(abort.request());
       if (exchange != null) {
--- a/host/src/main/java/dev/hornbeamwheel/host/Exchange.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/Exchange.java
@@ -1,5 +1,6 @@
 package dev.hornbeamwheel.host;
 
+import dev.hornbeamwheel.core.host.request.RequestHead;
 import dev.hornbeamwheel.core.host.request.RequestRef;
 import dev.hornbeamwheel.wire.http.CallHandle;
 import dev.hornbeamwheel.wire.http.UsedConnections;
@@ -11,7 +12,7 @@
   private final RequestRef ref;
   private final CallerConnection connection;
   private final FullHttpRequest request;
-  private final String attemptId;
+  private final RequestHead head;
   private final boolean keepAlive;
   private final UsedConnections upstreamConnections = UsedConnections.none();
   private CallHandle attempt;
@@ -22,12 +23,12 @@
       RequestRef ref,
       CallerConnection connection,
       FullHttpRequest request,
-      String attemptId,
+      RequestHead head,
       boolean keepAlive) {
     this.ref = ref;
     this.connection = connection;
     this.request = request;
-    this.attemptId = attemptId;
+    this.head = head;
     this.keepAlive = keepAlive;
   }
 
@@ -43,8 +44,12 @@
     return request;
   }
 
+  RequestHead head() {
+    return head;
+  }
+
   String attemptId() {
-    return attemptId;
+    return head.attemptId();
   }
 
   /** Returns the connections to upstreams that have carried the request. */
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -14,12 +14,9 @@
 import dev.hornbeamwheel.wire.HostLinkListener;
 import dev.hornbeamwheel.wire.HostLinks;
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -52,8 +49,6 @@
   /** Time before the end of the grace period at which the process exits, in milliseconds. */
   private static final long STOP_MARGIN_MILLIS = 600;
 
-  private static final String METRICS_PATH = "/metrics";
-
   private final HostSettings settings;
   private final EventLoopGroup loop;
   private final SuspensionClock clock;
@@ -64,6 +59,7 @@
   private final HostLinks links;
   private final CallerServer callerServer;
   private final LoopDelay loopDelay;
+  private final OperatorPages operatorPages;
   private final CoordinatorLoad coordinatorLoad = new CoordinatorLoad();
   private final Deque<HostEvent> events = new ArrayDeque<>();
   private final CountDownLatch stopped = new CountDownLatch(1);
@@ -98,6 +94,11 @@
     this.platform =
         PlatformAdapter.create(settings.storeAddress(), loop, clock, this::handle, log::write);
     this.links = HostLinks.create(loop, this);
+    this.operatorPages =
+        new OperatorPages(
+            metrics,
+            () -> node.quarantined(clock.millis()),
+            fingerprint -> handle(new HostEvent.QuarantineLifted(clock.millis(), fingerprint)));
     this.loopDelay = LoopDelay.startingAt(clock.millis());
     this.loadPeriodStartMillis = clock.millis();
     this.callerServer =
@@ -122,7 +123,7 @@
             .with("dataCentre", settings.dataCentre().value())
             .with("callerAddress", settings.callerAddress().toString()));
     MonitoringHttpServer.listen(loop, settings.readinessAddress(), this::readiness);
-    MonitoringHttpServer.listen(loop, settings.metricsAddress(), this::metricsPage);
+    MonitoringHttpServer.listen(loop, settings.metricsAddress(), operatorPages);
     links.listen(settings.peerAddress());
     callerServer.listen(settings.callerAddress());
     loop.execute(platform::start);
@@ -318,23 +319,9 @@
     return Math.min(CALLER_DRAIN_MILLIS, settings.graceMillis() / 2);
   }
 
-  private MonitoringHttpServer.Response readiness(String path) {
+  private MonitoringHttpServer.Response readiness(HttpMethod method, String path) {
     boolean ready = path.equals(CallerProtocol.READINESS_PATH) && node.ready();
     return MonitoringHttpServer.Response.empty(
         ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
   }
-
-  private MonitoringHttpServer.Response metricsPage(String path) {
-    if (!path.equals(METRICS_PATH)) {
-      return MonitoringHttpServer.Response.empty(HttpResponseStatus.NOT_FOUND);
-    }
-    ByteArrayOutputStream page = new ByteArrayOutputStream();
-    try {
-      PrometheusTextFormatWriter.create().write(page, metrics.metrics().registry().scrape());
-    } catch (IOException e) {
-      throw new UncheckedIOException("cannot write the metrics page to memory", e);
-    }
-    return new MonitoringHttpServer.Response(
-        HttpResponseStatus.OK, page.toString(StandardCharsets.UTF_8));
-  }
 }
--- a/host/src/main/java/dev/hornbeamwheel/host/MonitoringHttpServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/MonitoringHttpServer.java
@@ -15,13 +15,13 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.function.Function;
 
 /** Serves readiness to the load balancer and metrics to operators over HTTP. */
 final class MonitoringHttpServer {
@@ -37,16 +37,21 @@
     }
   }
 
+  /** Responds to requests; called on the event loop thread. */
+  interface Responder {
+    /** Returns the response to a request for a path. */
+    Response respond(HttpMethod method, String path);
+  }
+
   private MonitoringHttpServer() {}
 
   /**
    * Listens on an address.
    *
-   * @param responder returns the response for a path; called on the event loop thread
+   * @param responder responds to the requests
    * @throws IOException if the address cannot be bound
    */
-  static void listen(EventLoopGroup loop, Address address, Function<String, Response> responder)
-      throws IOException {
+  static void listen(EventLoopGroup loop, Address address, Responder responder) throws IOException {
     ChannelFuture bound =
         new ServerBootstrap()
             .group(loop)
@@ -70,16 +75,16 @@
   }
 
   private static final class RequestHandler extends SimpleChannelInboundHandler<Object> {
-    private final Function<String, Response> responder;
+    private final Responder responder;
 
-    private RequestHandler(Function<String, Response> responder) {
+    private RequestHandler(Responder responder) {
       this.responder = responder;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, Object message) {
       if (message instanceof HttpRequest request) {
-        Response response = responder.apply(request.uri());
+        Response response = responder.respond(request.method(), request.uri());
         byte[] body = response.body().getBytes(StandardCharsets.UTF_8);
         FullHttpResponse httpResponse =
             new DefaultFullHttpResponse(
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
@@ -90,6 +90,8 @@
               .addAllJoined(change.mergedFirstKeys()));
     } else if (message instanceof HostMessage.CatalogChange change) {
       frame.setCatalogChange(CatalogChangeMapping.toProto(change.changes()));
+    } else if (message instanceof HostMessage.CrashEvidence evidence) {
+      frame.setCrashEvidence(CrashEvidenceMapping.toProto(evidence));
     }
   }
 
@@ -135,6 +137,7 @@
         case KEY_MAP -> keyMap(frame.getKeyMap());
         case CATALOG_CHANGE ->
             new HostMessage.CatalogChange(CatalogChangeMapping.fromProto(frame.getCatalogChange()));
+        case CRASH_EVIDENCE -> CrashEvidenceMapping.fromProto(frame.getCrashEvidence());
         case BODY_NOT_SET -> throw new IllegalArgumentException("a frame without a message");
       };
     } catch (IllegalArgumentException e) {
@@ -151,6 +154,7 @@
         .setDeadlineMillis(toInt(ask.deadlineMillis()))
         .setTargetMillis(toInt(ask.targetMillis()))
         .setLarge(ask.largeResponse())
+        .setSuspect(ask.suspect())
         .addAllAvoid(ask.excludedUpstreams().stream().map(UpstreamId::value).toList())
         .build();
   }
@@ -164,6 +168,7 @@
         body.getDeadlineMillis(),
         body.getTargetMillis(),
         body.getLarge(),
+        body.getSuspect(),
         body.getAvoidList().stream().map(UpstreamId::of).collect(Collectors.toSet()));
   }
 
--- a/wire/src/main/java/dev/hornbeamwheel/wire/ItemBytes.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/ItemBytes.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.wire;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.membership.Content;
 import dev.hornbeamwheel.core.model.MemberId;
 import dev.hornbeamwheel.core.model.ServiceId;
@@ -44,8 +45,10 @@
     return Content.copyOf(
         EvidenceState.newBuilder()
             .setFingerprint(evidence.fingerprint())
-            .setUpstream(evidence.upstream().value())
+            .setUpstream(evidence.upstream().id().value())
             .setCrashed(evidence.kind() == Evidence.Kind.CRASHED)
+            .setLifted(evidence.kind() == Evidence.Kind.LIFTED)
+            .setUpstreamStartedUnixMillis(evidence.upstream().startedUnixMillis())
             .build()
             .toByteArray());
   }
@@ -56,14 +59,22 @@
       EvidenceState state = EvidenceState.parseFrom(content.toByteArray());
       return new Evidence(
           state.getFingerprint(),
-          UpstreamId.of(state.getUpstream()),
-          state.getCrashed() ? Evidence.Kind.CRASHED : Evidence.Kind.COMPLETED,
+          new UpstreamIncarnation(
+              UpstreamId.of(state.getUpstream()), state.getUpstreamStartedUnixMillis()),
+          evidenceKind(state),
           ageMillis);
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalArgumentException("not evidence: " + e.getMessage(), e);
     }
   }
 
+  private static Evidence.Kind evidenceKind(EvidenceState state) {
+    if (state.getCrashed()) {
+      return Evidence.Kind.CRASHED;
+    }
+    return state.getLifted() ? Evidence.Kind.LIFTED : Evidence.Kind.COMPLETED;
+  }
+
   /** Returns the bytes of a load report. */
   public static Content ofLoad(LoadReport report) {
     LoadState.Builder state =
--- a/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
@@ -6,16 +6,19 @@
 import dev.hornbeamwheel.core.host.catalog.CatalogTable;
 import dev.hornbeamwheel.core.host.catalog.StoredRow;
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.node.HostMessage;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
+import dev.hornbeamwheel.core.recovery.Evidence;
 import dev.hornbeamwheel.proto.host.CatalogChangeBody;
 import dev.hornbeamwheel.proto.host.HostFrame;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -56,6 +59,21 @@
         new HostMessage.CatalogChange(TableChanges.none(CatalogTable.OPERATOR_DOCUMENTS, 3)));
   }
 
+  @Test
+  void evidenceAboutCrashingRequestsIsKept() throws Exception {
+    UpstreamIncarnation upstream =
+        new UpstreamIncarnation(UpstreamId.of("i-1"), 1_700_000_000_000L);
+    assertKept(
+        new HostMessage.CrashEvidence(
+            List.of(
+                new Evidence(-7, upstream, Evidence.Kind.CRASHED, 1_200),
+                new Evidence(8, upstream, Evidence.Kind.COMPLETED, 0),
+                Evidence.lifted(9))));
+    assertKept(
+        new HostMessage.SlotRequest(
+            3, LEDGER, OptionalInt.of(0), 1, 900, 400, true, true, Set.of(upstream.id())));
+  }
+
   @Test
   void changesWithImpossibleVersionsOrTablesAreMalformed() {
     CatalogChangeBody impossible =
