Add a failing test of hosts that rely on a coordinator which does not read the store

Since changes of the tables go through the coordinator, the other hosts take its lease reports as proof that it knows the store's tables; but the lease is renewed by other calls than those that read the tables.

--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CatalogOverLinksTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CatalogOverLinksTest.java
@@ -14,6 +14,12 @@
   private static final int HOSTS = 30;
   private static final long CONNECT_LIMIT_MILLIS = 5_000;
 
+  /**
+   * Time without a read of the store after which no host may rely on the coordinator: changes are
+   * in force within 2 s, and a host's own read may fail once, after 600 ms.
+   */
+  private static final long MAX_UNREAD_MILLIS = 1_400;
+
   private final HostSimulation simulation = new HostSimulation(3);
 
   private static TableChanges change(long version) {
@@ -64,6 +70,19 @@
     assertThat(simulation.otherHosts()).noneMatch(host -> host.followsCoordinator);
   }
 
+  // Guards against a change that was confirmed to operators and is not in force in time: the
+  // coordinator renews its lease, but its reads of the store's tables are not answered.
+  @Test
+  void hostsReadTheStoreWhileTheCoordinatorDoesNotReadIt() {
+    start();
+    simulation.coordinatingHost().readFromStore(change(10));
+
+    simulation.run(MAX_UNREAD_MILLIS);
+
+    assertThat(simulation.otherHosts()).hasSize(HOSTS - 1);
+    assertThat(simulation.otherHosts()).noneMatch(host -> host.followsCoordinator);
+  }
+
   // Guards against hosts that go on reading the store after a change of the coordinator, and
   // against changes of the former one that are taken for those of the next.
   @Test
