Rely on the coordinator only for tables that the store has confirmed to it lately

Cause, of: while the coordinator reported that it holds the lease, the other hosts read the store once in 20 s only. Renewals of the lease and reads of the tables are different calls; a long poll that gets no answer, a partition of the coordinator alone (until the lease runs out, 2.3 s after) or a table of which the history is compacted left all hosts as old as the coordinator.

Now the heartbeat names for each table the version up to which there are no unsent changes, and the age of the store's response. A host relies on the coordinator for a table while that is at most 1.1 s old, and 0 to 0.2 s more by host, so that not all read at once; otherwise it reads the table itself. Reads without changes are no longer sent to all hosts: the heartbeat covers them.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -176,8 +176,8 @@
   }
 
   /** Sends changes of a table, which this host has read from the store, to all other hosts. */
-  List<HostEffect> tableChangesRead(TableChanges changes) {
-    tablePublisher.publish(changes, connectedHosts.links());
+  List<HostEffect> tableChangesRead(long now, TableChanges changes) {
+    tablePublisher.publish(now, changes, connectedHosts.links());
     return drain();
   }
 
@@ -342,7 +342,8 @@
         leaseHeld && !handedOver,
         connectedHosts.size(),
         connectedHosts.bestCapacity(),
-        handedOver);
+        handedOver,
+        tablePublisher.confirmations(nowMillis));
   }
 
   private void sendToHost(LinkId link, HostMessage message) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEffect.java
@@ -1,7 +1,9 @@
 package dev.hornbeamwheel.core.host.node;
 
 import dev.hornbeamwheel.core.host.catalog.Address;
+import dev.hornbeamwheel.core.host.catalog.CatalogTable;
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.core.host.catalog.TableSource;
 import dev.hornbeamwheel.core.host.keys.KeyEffect;
 import dev.hornbeamwheel.core.host.lease.LeaseEffect;
 import dev.hornbeamwheel.core.host.log.LogEntry;
@@ -61,10 +63,8 @@
     }
   }
 
-  /**
-   * Rely on the coordinator for changes of the store's tables, or read them from the store again.
-   */
-  record FollowCoordinator(boolean heard) implements HostEffect {}
+  /** Take the changes of a table of the store from another source than before. */
+  record FollowTable(CatalogTable table, TableSource source) implements HostEffect {}
 
   /** Take over changes of a table that the coordinator has sent. */
   record TakeOverChanges(TableChanges changes) implements HostEffect {}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -1,6 +1,7 @@
 package dev.hornbeamwheel.core.host.node;
 
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.core.host.catalog.TableConfirmation;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.DataCentreId;
@@ -83,13 +84,15 @@
    * @param connectedHosts number of hosts connected to it, including its own
    * @param bestCapacity greatest capacity among them
    * @param handingOver whether the coordinator gave up the lease for a host of about that capacity
+   * @param confirmations what the coordinator knows of the store's tables
    */
   record Heartbeat(
       long term,
       boolean leaseHeld,
       int connectedHosts,
       HostCapacity bestCapacity,
-      boolean handingOver)
+      boolean handingOver,
+      List<TableConfirmation> confirmations)
       implements HostMessage {}
 
   /** Grants a slot at an upstream; {@code fencingToken} is zero without a key. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -72,7 +72,7 @@
   private long reconnectAtMillis;
   private long lastMessageMillis;
   private long lastLeaseHeldMillis;
-  private final CoordinatorWatch coordinatorWatch = new CoordinatorWatch();
+  private final CoordinatorWatch coordinatorWatch;
   private HostCapacity bestCapacity = HostCapacity.unknown();
   private boolean handingOver;
   private long handoverAtMillis;
@@ -80,6 +80,7 @@
 
   private HostNode(HostIdentity self) {
     this.self = self;
+    this.coordinatorWatch = new CoordinatorWatch(self.seed());
     this.lease = CoordinatorLease.create(self.host(), self.address(), self.seed());
     this.requestFlow = RequestFlow.create(catalog, quarantine, self.dataCentre(), self.seed());
   }
@@ -164,9 +165,8 @@
 
   private void updateCoordinatorWatch(long now) {
     boolean remote = connected && coordinator.isEmpty();
-    if (coordinatorWatch.update(now, remote, lastLeaseHeldMillis)) {
-      pendingEffects.add(new HostEffect.FollowCoordinator(coordinatorWatch.reliable()));
-    }
+    pendingEffects.addAll(
+        coordinatorWatch.update(now, coordinator.isPresent(), remote, lastLeaseHeldMillis));
   }
 
   private void applyControlEvent(long now, HostEvent event) {
@@ -209,7 +209,7 @@
 
   private void applyCatalogEvent(long now, HostEvent event) {
     if (event instanceof HostEvent.TableChangesRead read) {
-      coordinator.ifPresent(c -> dispatch(now, c.tableChangesRead(read.changes())));
+      coordinator.ifPresent(c -> dispatch(now, c.tableChangesRead(now, read.changes())));
       return;
     }
     catalogEvents.apply(now, event);
@@ -331,6 +331,7 @@
   }
 
   private void joinCoordinator(long now) {
+    coordinatorWatch.connectionEnded();
     connected = true;
     lastMessageMillis = now;
     lastLeaseHeldMillis = now;
@@ -373,6 +374,9 @@
       if (heartbeat.leaseHeld()) {
         lastLeaseHeldMillis = now;
       }
+      if (coordinator.isEmpty()) {
+        pendingEffects.addAll(coordinatorWatch.confirmed(now, heartbeat.confirmations()));
+      }
       updateBestCapacity(heartbeat.bestCapacity());
       handingOver = heartbeat.handingOver();
       if (handingOver) {
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CatalogOverLinksTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CatalogOverLinksTest.java
@@ -53,10 +53,10 @@
     assertThat(simulation.otherHosts())
         .allSatisfy(
             host -> {
-              assertThat(host.followsCoordinator).isTrue();
+              assertThat(host.followsCoordinator()).isTrue();
               assertThat(host.takenOver).isEqualTo(changes);
             });
-    assertThat(simulation.coordinatingHost().followsCoordinator).isFalse();
+    assertThat(simulation.coordinatingHost().followsCoordinator()).isFalse();
   }
 
   // Guards against hosts that know no changes while their coordinator has ended.
@@ -67,7 +67,7 @@
     simulation.crash(simulation.coordinatingHost());
     simulation.run(CoordinatorWatch.SILENCE_MILLIS + 50);
 
-    assertThat(simulation.otherHosts()).noneMatch(host -> host.followsCoordinator);
+    assertThat(simulation.otherHosts()).noneMatch(host -> host.followsCoordinator());
   }
 
   // Guards against a change that was confirmed to operators and is not in force in time: the
@@ -76,11 +76,31 @@
   void hostsReadTheStoreWhileTheCoordinatorDoesNotReadIt() {
     start();
     simulation.coordinatingHost().readFromStore(change(10));
+    simulation.unreadTables.addAll(List.of(CatalogTable.values()));
 
     simulation.run(MAX_UNREAD_MILLIS);
 
     assertThat(simulation.otherHosts()).hasSize(HOSTS - 1);
-    assertThat(simulation.otherHosts()).noneMatch(host -> host.followsCoordinator);
+    assertThat(simulation.otherHosts()).noneMatch(host -> host.followsCoordinator());
+  }
+
+  // Guards against hosts that all read a table for one that the coordinator does not, and against
+  // hosts that go on reading the store once it does.
+  @Test
+  void hostsReadOnlyTheTableThatTheCoordinatorDoesNotRead() {
+    start();
+    simulation.unreadTables.add(CatalogTable.OPERATOR_DOCUMENTS);
+    simulation.run(MAX_UNREAD_MILLIS);
+
+    assertThat(simulation.otherHosts())
+        .allMatch(
+            host ->
+                host.readsStore(CatalogTable.OPERATOR_DOCUMENTS)
+                    && !host.readsStore(CatalogTable.REGISTRATIONS));
+
+    simulation.unreadTables.clear();
+    simulation.run(1_000);
+    assertThat(simulation.otherHosts()).allMatch(host -> host.followsCoordinator());
   }
 
   // Guards against hosts that go on reading the store after a change of the coordinator, and
@@ -97,6 +117,6 @@
 
     assertThat(simulation.otherHosts())
         .hasSize(HOSTS - 2)
-        .allMatch(host -> host.followsCoordinator && host.takenOver.equals(List.of(change(20))));
+        .allMatch(host -> host.followsCoordinator() && host.takenOver.equals(List.of(change(20))));
   }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/HostSimulation.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/HostSimulation.java
@@ -2,8 +2,10 @@
 
 import dev.hornbeamwheel.core.host.catalog.Address;
 import dev.hornbeamwheel.core.host.catalog.CallerLimits;
+import dev.hornbeamwheel.core.host.catalog.CatalogTable;
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.core.host.catalog.TableSource;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.lease.LeaseEffect;
@@ -21,6 +23,8 @@
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +36,7 @@
 /** Simulates entry hosts, their connections and the lease row in the store, in virtual time. */
 final class HostSimulation {
   private static final int STEP_MILLIS = 25;
+  private static final int POLL_MILLIS = 500;
   private static final long CONNECT_TIMEOUT_MILLIS = 400;
   private static final long MESSAGE_DELAY_MILLIS = 3;
 
@@ -49,8 +54,7 @@
     private Optional<Link> coordinatorLink = Optional.empty();
     private boolean crashed;
 
-    /** Whether the host relies on the coordinator for changes of tables. */
-    boolean followsCoordinator;
+    private final Map<CatalogTable, TableSource> sources = new EnumMap<>(CatalogTable.class);
 
     /** The changes that the host took over from the coordinator. */
     final List<TableChanges> takenOver = new ArrayList<>();
@@ -78,6 +82,17 @@
       }
     }
 
+    /** Returns whether the host relies on the coordinator for changes of all tables. */
+    boolean followsCoordinator() {
+      return sources.size() == CatalogTable.values().length
+          && sources.values().stream().allMatch(source -> source == TableSource.COORDINATOR);
+    }
+
+    /** Returns whether the host reads a table from the store for itself. */
+    boolean readsStore(CatalogTable table) {
+      return sources.get(table) == TableSource.STORE;
+    }
+
     /** Reports that the host has read changes from the store. */
     void readFromStore(TableChanges changes) {
       reduce(new HostEvent.TableChangesRead(nowMillis, changes));
@@ -118,6 +133,12 @@
   private long nowMillis;
   private boolean strongHostsMayWrite = true;
 
+  /** Tables of which the store does not answer the coordinator's reads. */
+  final Set<CatalogTable> unreadTables = EnumSet.noneOf(CatalogTable.class);
+
+  /** Latest version of the store, which the coordinator's reads without changes return. */
+  long storeVersion = 1;
+
   /** What hosts learn when they check whether an upstream runs. */
   CheckResult checkResult = CheckResult.REFUSED;
 
@@ -161,6 +182,18 @@
         tasks.poll().run().run();
       }
       List.copyOf(hosts).forEach(host -> host.reduce(new HostEvent.Tick(nowMillis)));
+      if (nowMillis % POLL_MILLIS == 0) {
+        hosts.stream().filter(Host::isCoordinator).forEach(this::confirmTables);
+      }
+    }
+  }
+
+  /** Reports to the coordinator that the store has no changes, unless its reads stand still. */
+  private void confirmTables(Host host) {
+    for (CatalogTable table : CatalogTable.values()) {
+      if (!unreadTables.contains(table)) {
+        host.readFromStore(TableChanges.none(table, storeVersion));
+      }
     }
   }
 
@@ -248,12 +281,14 @@
                   }));
     } else if (effect instanceof HostEffect.SendToHost send) {
       sendToHost(host.hostLinks.get(send.link()), send.message());
-    } else if (effect instanceof HostEffect.FollowCoordinator follow) {
-      host.followsCoordinator = follow.heard();
+    } else if (effect instanceof HostEffect.FollowTable follow) {
+      host.sources.put(follow.table(), follow.source());
     } else if (effect instanceof HostEffect.Request request) {
       performRequest(host, request.effect());
     } else if (effect instanceof HostEffect.TakeOverChanges take) {
-      host.takenOver.add(take.changes());
+      if (!take.changes().rows().isEmpty()) {
+        host.takenOver.add(take.changes());
+      }
     } else if (effect instanceof HostEffect.Log line && line.entry().event().equals("lease-won")) {
       leaseWins++;
     }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
@@ -74,7 +74,7 @@
             entry(HostEffect.SendToCoordinator.class, "Say"),
             entry(HostEffect.SendToHost.class, "Tell"),
             entry(HostEffect.DisconnectHosts.class, "DropHosts"),
-            entry(HostEffect.FollowCoordinator.class, "FollowCoordinator"),
+            entry(HostEffect.FollowTable.class, "FollowTable"),
             entry(HostEffect.TakeOverChanges.class, "TakeOverChanges"),
             entry(HostEffect.Log.class, "Log"));
   }
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -250,8 +250,8 @@
       links.disconnect();
     } else if (effect instanceof HostEffect.DisconnectHosts) {
       links.dropHosts();
-    } else if (effect instanceof HostEffect.FollowCoordinator follow) {
-      platform.followCoordinator(follow.heard());
+    } else if (effect instanceof HostEffect.FollowTable follow) {
+      platform.followTable(follow.table(), follow.source());
     } else if (effect instanceof HostEffect.TakeOverChanges take) {
       platform.takeOverChanges(take.changes());
     }
--- a/host/src/test/java/dev/hornbeamwheel/host/CoordinatorLoadTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/CoordinatorLoadTest.java
@@ -7,6 +7,7 @@
 import dev.hornbeamwheel.core.host.node.CoordinatorStatistics;
 import dev.hornbeamwheel.core.host.node.HostMessage;
 import dev.hornbeamwheel.core.model.ServiceId;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -29,7 +30,8 @@
   @Test
   void countsOnlyTheCurrentPeriod() {
     load.recordSent(new HostMessage.KeyMap(ServiceId.of("ledger"), Map.of()), 500);
-    load.recordSent(new HostMessage.Heartbeat(3, true, 2, HostCapacity.unknown(), false), 20);
+    load.recordSent(
+        new HostMessage.Heartbeat(3, true, 2, HostCapacity.unknown(), false, List.of()), 20);
     Map<String, Object> first = endPeriod(new CoordinatorStatistics(3, 2, 100, 90, 4, 30, 6));
     Map<String, Object> second = endPeriod(new CoordinatorStatistics(3, 2, 150, 140, 5, 40, 5));
 
--- a/wire/src/main/java/dev/hornbeamwheel/wire/CatalogChangeMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/CatalogChangeMapping.java
@@ -3,9 +3,11 @@
 import dev.hornbeamwheel.core.host.catalog.CatalogTable;
 import dev.hornbeamwheel.core.host.catalog.StoredRow;
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.core.host.catalog.TableConfirmation;
 import dev.hornbeamwheel.proto.host.CatalogChangeBody;
 import dev.hornbeamwheel.proto.host.CatalogTableCode;
 import dev.hornbeamwheel.proto.host.StoredRowBody;
+import dev.hornbeamwheel.proto.host.TableConfirmationBody;
 import java.util.List;
 
 /** Turns changes of the store's tables into messages and back. */
@@ -27,18 +29,44 @@
    * @throws IllegalArgumentException if the table is not known here or a version is impossible
    */
   static TableChanges fromProto(CatalogChangeBody body) {
-    long after = body.getAfterVersion();
-    long version = body.getVersion();
-    if (after < 0 || version < after) {
-      throw new IllegalArgumentException("changes from version " + after + " to " + version);
-    }
+    checkVersions(body.getAfterVersion(), body.getVersion());
     List<StoredRow> rows =
         body.getRowsList().stream()
             .map(
                 row ->
                     new StoredRow(row.getKey(), row.getValue(), row.getVersion(), row.getDeleted()))
             .toList();
-    return new TableChanges(table(body), after, version, rows);
+    return new TableChanges(
+        table(body.getTable()), body.getAfterVersion(), body.getVersion(), rows);
+  }
+
+  static TableConfirmationBody confirmation(TableConfirmation confirmation) {
+    TableChanges changes = confirmation.changes();
+    return TableConfirmationBody.newBuilder()
+        .setTable(code(changes.table()))
+        .setAfterVersion(changes.afterVersion())
+        .setVersion(changes.version())
+        .setAgeMillis((int) Math.min(Integer.MAX_VALUE, confirmation.ageMillis()))
+        .build();
+  }
+
+  /**
+   * Returns the confirmation in a message.
+   *
+   * @throws IllegalArgumentException if the table is not known here or a version is impossible
+   */
+  static TableConfirmation confirmation(TableConfirmationBody body) {
+    checkVersions(body.getAfterVersion(), body.getVersion());
+    TableChanges changes =
+        new TableChanges(
+            table(body.getTable()), body.getAfterVersion(), body.getVersion(), List.of());
+    return new TableConfirmation(changes, Integer.toUnsignedLong(body.getAgeMillis()));
+  }
+
+  private static void checkVersions(long after, long version) {
+    if (after < 0 || version < after) {
+      throw new IllegalArgumentException("changes from version " + after + " to " + version);
+    }
   }
 
   private static StoredRowBody row(StoredRow row) {
@@ -57,8 +85,8 @@
     };
   }
 
-  private static CatalogTable table(CatalogChangeBody body) {
-    return switch (body.getTable()) {
+  private static CatalogTable table(CatalogTableCode code) {
+    return switch (code) {
       case OPERATOR_DOCUMENTS -> CatalogTable.OPERATOR_DOCUMENTS;
       case REGISTRATIONS -> CatalogTable.REGISTRATIONS;
       case UNRECOGNIZED -> throw new IllegalArgumentException("unknown table");
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
@@ -58,7 +58,9 @@
               .setLeased(beat.leaseHeld())
               .setHosts(beat.connectedHosts())
               .setBestCapacity(beat.bestCapacity().millicores())
-              .setHandingOver(beat.handingOver()));
+              .setHandingOver(beat.handingOver())
+              .addAllConfirmations(
+                  beat.confirmations().stream().map(CatalogChangeMapping::confirmation).toList()));
     } else if (message instanceof HostMessage.Cancel cancel) {
       frame.setCancel(CancelBody.newBuilder().setAsk(cancel.requestNumber()));
     } else {
@@ -121,7 +123,10 @@
                 frame.getHeartbeat().getLeased(),
                 frame.getHeartbeat().getHosts(),
                 new HostCapacity(frame.getHeartbeat().getBestCapacity()),
-                frame.getHeartbeat().getHandingOver());
+                frame.getHeartbeat().getHandingOver(),
+                frame.getHeartbeat().getConfirmationsList().stream()
+                    .map(CatalogChangeMapping::confirmation)
+                    .toList());
         case CANCEL -> new HostMessage.Cancel(frame.getCancel().getAsk());
         case HOLD ->
             new HostMessage.SlotInUse(
--- a/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
@@ -6,6 +6,7 @@
 import dev.hornbeamwheel.core.host.catalog.CatalogTable;
 import dev.hornbeamwheel.core.host.catalog.StoredRow;
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.core.host.catalog.TableConfirmation;
 import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.node.HostMessage;
@@ -46,7 +47,7 @@
   void capacitiesAndHandOversAreKept() throws Exception {
     HostCapacity strong = new HostCapacity(1_500);
     assertKept(new HostMessage.Hello(HostId.of("host-1"), DataCentreId.of("vannes"), strong));
-    assertKept(new HostMessage.Heartbeat(7, false, 142, strong, true));
+    assertKept(new HostMessage.Heartbeat(7, false, 142, strong, true, List.of()));
   }
 
   @Test
@@ -59,6 +60,21 @@
         new HostMessage.CatalogChange(TableChanges.none(CatalogTable.OPERATOR_DOCUMENTS, 3)));
   }
 
+  @Test
+  void confirmationsOfTablesAreKept() throws Exception {
+    TableChanges none = new TableChanges(CatalogTable.OPERATOR_DOCUMENTS, 7, 12, List.of());
+    assertKept(
+        new HostMessage.Heartbeat(
+            7,
+            true,
+            3,
+            HostCapacity.unknown(),
+            false,
+            List.of(
+                new TableConfirmation(none, 0),
+                new TableConfirmation(TableChanges.none(CatalogTable.REGISTRATIONS, 9), 740))));
+  }
+
   @Test
   void evidenceAboutCrashingRequestsIsKept() throws Exception {
     UpstreamIncarnation upstream =
