--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/ExplainRequest.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/ExplainRequest.java
@@ -64,6 +64,7 @@
     printSection("at its host and coordinator, in the 5 s before", around(last));
     printSection("owners of its key, in the 5 s before", moves(last));
     printSection("other failed attempts at its upstream, within 1 s", neighbours(last));
+    printSection("upstreams that ended while they ran the same request", crashes(last));
     printRefused(last);
     out.println("cause: " + cause(last));
     return CtlExitCode.OK;
@@ -110,6 +111,16 @@
                     && Math.abs(line.atMillis() - last.atMillis()) <= NEAR_MILLIS);
   }
 
+  private List<LogLine> crashes(LogLine last) throws IOException {
+    String fingerprint = last.text("fingerprint");
+    return fingerprint.isEmpty()
+        ? List.of()
+        : matching(
+            line ->
+                line.event().equals("upstream-crashed")
+                    && line.text("fingerprint").equals(fingerprint));
+  }
+
   private void printRefused(LogLine last) throws IOException {
     if (!last.event().equals("request-failed")) {
       return;
@@ -166,6 +177,11 @@
       case "TIMED_OUT" -> "unknown outcome: upstream " + last.text("upstream") + " gave no answer";
       case "UPSTREAM_FAILED" ->
           "unknown outcome: upstream " + last.text("upstream") + " broke off: " + reason;
+      case "QUARANTINED" ->
+          "refused and not sent: upstreams ended while they ran the same request, fingerprint "
+              + last.text("fingerprint")
+              + "; "
+              + reason;
       case "NO_ROUTE" -> "no route in configuration " + last.number("configuration");
       default -> "see the lines above";
     };
--- a/ctl/src/test/java/dev/hornbeamwheel/ctl/ExplainRequestTest.java
+++ b/ctl/src/test/java/dev/hornbeamwheel/ctl/ExplainRequestTest.java
@@ -64,6 +64,23 @@
     assertThat(printed()).contains("b0", "cause: unknown outcome: upstream i-9 broke off");
   }
 
+  @Test
+  void aRequestInQuarantineNamesTheUpstreamsThatItEnded() throws Exception {
+    explain(
+        "d1",
+        "{\"at\":500,\"host\":\"h\",\"event\":\"upstream-crashed\",\"upstream\":\"i-7\","
+            + "\"fingerprint\":\"4b447a\",\"evidence\":\"refused\"}",
+        "{\"at\":600,\"host\":\"g\",\"event\":\"upstream-crashed\",\"upstream\":\"i-8\","
+            + "\"fingerprint\":\"ffff\",\"evidence\":\"refused\"}",
+        "{\"at\":9000,\"host\":\"h\",\"event\":\"request-failed\",\"request\":\"d1\","
+            + "\"fingerprint\":\"4b447a\",\"answer\":\"QUARANTINED\","
+            + "\"reason\":\"refused for 900 ms\"}");
+
+    assertThat(printed())
+        .contains("i-7", "cause: refused and not sent", "4b447a; refused for 900 ms")
+        .doesNotContain("i-8");
+  }
+
   @Test
   void aLateAnswerIsSplitIntoWaitingAndWork() throws Exception {
     explain(
--- a/host/src/main/java/dev/hornbeamwheel/host/HostMetrics.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostMetrics.java
@@ -24,6 +24,7 @@
   private final Counter orders;
   private final Counter choices;
   private final Counter hostMessageBytes;
+  private final Counter upstreamChecks;
   private final Gauge loopDelay;
   private final Histogram latency;
   private final Map<RequestRef, Long> arrivalMillis = new HashMap<>();
@@ -52,6 +53,10 @@
             "hornbeamwheel_host_message_bytes_total",
             "Bytes sent to other hosts by kind of message.",
             "kind");
+    this.upstreamChecks =
+        metrics.counter(
+            "hornbeamwheel_upstream_checks_total",
+            "Connections made to learn whether an upstream runs after it lost one.");
     this.loopDelay =
         metrics.gauge(
             "hornbeamwheel_event_loop_delay_milliseconds",
@@ -97,7 +102,9 @@
   }
 
   private void count(long nowMillis, RequestEffect effect) {
-    if (effect instanceof RequestEffect.Send send) {
+    if (effect instanceof RequestEffect.CheckUpstream) {
+      upstreamChecks.inc();
+    } else if (effect instanceof RequestEffect.Send send) {
       attempts.inc();
       countChoice(send.decidedByCoordinator(), "SEND");
     } else if (effect instanceof RequestEffect.ForwardResponse passOn) {
--- a/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
+++ b/host/src/main/java/dev/hornbeamwheel/host/HostServer.java
@@ -99,6 +99,12 @@
             metrics,
             () -> node.quarantined(clock.millis()),
             fingerprint -> handle(new HostEvent.QuarantineLifted(clock.millis(), fingerprint)));
+    metrics
+        .metrics()
+        .gauge(
+            "hornbeamwheel_quarantined_requests",
+            "Requests that are refused because they ended upstreams.",
+            () -> node.quarantined(clock.millis()).size());
     this.loopDelay = LoopDelay.startingAt(clock.millis());
     this.loadPeriodStartMillis = clock.millis();
     this.callerServer =
