Send nothing to upstreams that leave or want nothing, by the word of their answers

Now the word of any answer to a request or an order about keys marks that start of the upstream as leaving in the catalog, which all decisions ask already: slots, local choices, owners of keys. It is shared like the evidence about crashes, by one module for both (KnowledgeExchange), so that it outlasts the coordinator. Retry-After closes the upstream to that host alone for the time named, 60 s at most; granted slots are given back, and callers for whom nothing is open are told at once when there is.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/catalog/Catalog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/catalog/Catalog.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,9 @@
    */
   static final long REREGISTRATION_GRACE_MILLIS = 2_000;
 
+  /** Maximum number of leaving upstreams that are remembered. */
+  static final int MAX_LEAVING = 5_000;
+
   /** Maximum number of incarnations that are remembered per address. */
   private static final int MAX_RECENT_PER_ADDRESS = 8;
 
@@ -34,6 +38,10 @@
   private final Map<UpstreamId, Long> removalDueMillis = new HashMap<>();
   private final Map<Address, Deque<UpstreamRegistration>> recentByAddress = new HashMap<>();
   private final Set<DataCentreId> evacuated = new HashSet<>();
+
+  /** Upstreams that leave by their own word, in the order in which they said so. */
+  private final Set<UpstreamIncarnation> leaving = new LinkedHashSet<>();
+
   private final Map<ServiceId, List<UpstreamRegistration>> usable = new HashMap<>();
   private FleetConfiguration configuration;
   private boolean upstreamsLoaded;
@@ -153,7 +161,37 @@
 
   /** Returns whether an upstream may get new work. */
   public boolean usable(UpstreamRegistration registration) {
-    return !registration.draining() && !evacuated.contains(registration.dataCentre());
+    return !registration.draining()
+        && !evacuated.contains(registration.dataCentre())
+        && !leaving.contains(registration.incarnation());
+  }
+
+  /**
+   * Records that an upstream leaves by its own word. That holds for as long as it lives, whatever
+   * its registration says; a later start under its id is not concerned.
+   *
+   * @return whether it was not known
+   */
+  public boolean markLeaving(UpstreamIncarnation upstream) {
+    if (!leaving.add(upstream)) {
+      return false;
+    }
+    usable.clear();
+    if (leaving.size() > MAX_LEAVING) {
+      leaving.remove(leaving.iterator().next());
+    }
+    return true;
+  }
+
+  /** Returns the registered upstreams that leave by their own word. */
+  public List<UpstreamIncarnation> leaving() {
+    return leaving.stream().filter(this::registered).toList();
+  }
+
+  private boolean registered(UpstreamIncarnation incarnation) {
+    return upstream(incarnation.id())
+        .filter(registration -> registration.incarnation().equals(incarnation))
+        .isPresent();
   }
 
   /**
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -19,8 +19,6 @@
 import dev.hornbeamwheel.core.host.slots.SlotRequestId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
-import dev.hornbeamwheel.core.recovery.Evidence;
-import dev.hornbeamwheel.core.recovery.Quarantine;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -43,7 +41,7 @@
   private final long term;
   private final HostIdentity self;
   private final Catalog catalog;
-  private final Quarantine quarantine;
+  private final KnowledgeExchange knowledge;
   private final SlotBroker broker;
   private final ConnectedHosts connectedHosts = new ConnectedHosts();
   private final Map<ServiceId, KeyedService> keyedServices = new HashMap<>();
@@ -63,9 +61,9 @@
   private long nowMillis;
 
   Coordinator(
-      long nowMillis, long term, HostIdentity self, Catalog catalog, Quarantine quarantine) {
+      long nowMillis, long term, HostIdentity self, Catalog catalog, KnowledgeExchange knowledge) {
     this.term = term;
-    this.quarantine = quarantine;
+    this.knowledge = knowledge;
     this.self = self;
     this.catalog = catalog;
     this.broker = SlotBroker.create(catalog, new KeyOwners());
@@ -102,7 +100,7 @@
       sendToHost(link, heartbeat(true));
       if (!link.equals(HostNode.LOCAL_LINK)) {
         tablePublisher.hostConnected(link);
-        sendEvidence(Set.of(link), quarantine.evidence(now));
+        knowledge.all(now).forEach(known -> sendToHost(link, known));
       }
     } else if (message instanceof HostMessage.SlotRequest request) {
       slotRequests++;
@@ -121,24 +119,23 @@
               done.workPercent()));
     } else if (message instanceof HostMessage.SlotInUse inUse) {
       broker.recordHeldSlot(now, new SlotRequestId(link, inUse.requestNumber()), inUse.upstream());
-    } else if (message instanceof HostMessage.CrashEvidence crashes) {
-      sendEvidence(
-          connectedHosts.links(),
-          crashes.evidence().stream().filter(e -> quarantine.add(e, now)).toList());
+    } else {
+      knowledge.takeOver(now, message).ifPresent(this::sendToAll);
     }
     return drain();
   }
 
-  /** Sends evidence of this host about requests that crash upstreams to all other hosts. */
-  List<HostEffect> publishEvidence(Evidence evidence) {
-    sendEvidence(connectedHosts.links(), List.of(evidence));
+  /** Sends what this host has learnt of requests and upstreams to all other hosts. */
+  List<HostEffect> share(HostMessage learnt) {
+    sendToAll(learnt);
     return drain();
   }
 
-  private void sendEvidence(Set<LinkId> links, List<Evidence> evidence) {
-    if (!evidence.isEmpty()) {
-      links.forEach(link -> sendToHost(link, new HostMessage.CrashEvidence(evidence)));
+  private void sendToAll(HostMessage learnt) {
+    if (learnt instanceof HostMessage.UpstreamsLeaving) {
+      catalogChanged();
     }
+    connectedHosts.links().forEach(link -> sendToHost(link, learnt));
   }
 
   /** Removes a host whose connection was closed, with its slot requests. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostEvent.java
@@ -134,6 +134,9 @@
   record UpstreamChecked(long atMillis, UpstreamIncarnation upstream, CheckResult result)
       implements HostEvent {}
 
+  /** An upstream said in its response to an order that it leaves. */
+  record UpstreamLeaving(long atMillis, UpstreamId upstream) implements HostEvent {}
+
   /** An operator allowed a request again that is refused because it crashed upstreams. */
   record QuarantineLifted(long atMillis, long fingerprint) implements HostEvent {}
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -2,6 +2,7 @@
 
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
 import dev.hornbeamwheel.core.host.catalog.TableConfirmation;
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.DataCentreId;
@@ -137,6 +138,9 @@
   /** Reports evidence about requests that crash upstreams, to the coordinator or from it. */
   record CrashEvidence(List<Evidence> evidence) implements HostMessage {}
 
+  /** Reports upstreams that leave by their own word, to the coordinator or from it. */
+  record UpstreamsLeaving(List<UpstreamIncarnation> upstreams) implements HostMessage {}
+
   /** Sends a host the changes of a table that the coordinator has read from the store. */
   record CatalogChange(TableChanges changes) implements HostMessage {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -13,7 +13,6 @@
 import dev.hornbeamwheel.core.host.request.RequestEffect;
 import dev.hornbeamwheel.core.host.request.RequestFlow;
 import dev.hornbeamwheel.core.host.slots.LinkId;
-import dev.hornbeamwheel.core.recovery.Evidence;
 import dev.hornbeamwheel.core.recovery.Quarantine;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -56,6 +55,7 @@
   private final HostIdentity self;
   private final Catalog catalog = Catalog.empty();
   private final Quarantine quarantine = Quarantine.empty();
+  private final KnowledgeExchange knowledge = new KnowledgeExchange(catalog, quarantine);
   private final CatalogEvents catalogEvents = new CatalogEvents(catalog, this::log);
   private final CoordinatorLease lease;
   private final RequestFlow requestFlow;
@@ -173,6 +173,8 @@
     if (event instanceof HostEvent.HostDisconnected disconnected) {
       pendingHellos.remove(disconnected.link());
       coordinator.ifPresent(c -> dispatch(now, c.hostDisconnected(now, disconnected.link())));
+    } else if (event instanceof HostEvent.UpstreamLeaving leaving) {
+      performRequests(now, requestFlow.upstreamLeaving(leaving.upstream()));
     } else if (event instanceof HostEvent.QuarantineLifted lifted) {
       performRequests(now, requestFlow.quarantineLifted(now, lifted.fingerprint()));
     } else if (event instanceof HostEvent.CoordinatorConnected established) {
@@ -337,9 +339,8 @@
     lastLeaseHeldMillis = now;
     handingOver = false;
     sendToCoordinator(now, new HostMessage.Hello(self.host(), self.dataCentre(), self.capacity()));
-    List<Evidence> evidence = quarantine.evidence(now);
-    if (coordinator.isEmpty() && !evidence.isEmpty()) {
-      sendToCoordinator(now, new HostMessage.CrashEvidence(evidence));
+    if (coordinator.isEmpty()) {
+      knowledge.all(now).forEach(message -> sendToCoordinator(now, message));
     }
     performRequests(now, requestFlow.coordinatorConnected(now));
     log(LogEntry.of("coordinator-joined").with("term", knownTerm()));
@@ -392,6 +393,8 @@
       performRequests(now, requestFlow.evidenceReceived(now, crashes.evidence()));
     } else if (message instanceof HostMessage.CatalogChange change) {
       pendingEffects.add(new HostEffect.TakeOverChanges(change.changes()));
+    } else {
+      var unused = knowledge.takeOver(now, message);
     }
   }
 
@@ -424,7 +427,7 @@
     disconnect(now);
     resign(now);
     knownLease = Optional.of(new LeaseRow(term, self.host(), self.address(), 0, bestCapacity));
-    coordinator = Optional.of(new Coordinator(now, term, self, catalog, quarantine));
+    coordinator = Optional.of(new Coordinator(now, term, self, catalog, knowledge));
     joinCoordinator(now);
     Coordinator started = coordinator.get();
     pendingHellos.forEach((link, hello) -> dispatch(now, started.receive(now, link, hello)));
@@ -470,18 +473,20 @@
       sendToCoordinator(now, message.get());
     } else if (effect instanceof RequestEffect.Log line) {
       log(line.entry());
-    } else if (effect instanceof RequestEffect.ReportEvidence report) {
-      reportEvidence(now, report.evidence());
     } else {
-      pendingEffects.add(new HostEffect.Request(effect));
+      KnowledgeExchange.messageOf(effect)
+          .ifPresentOrElse(
+              learnt -> share(now, learnt),
+              () -> pendingEffects.add(new HostEffect.Request(effect)));
     }
   }
 
-  private void reportEvidence(long now, Evidence evidence) {
+  /** Sends what this host has learnt to all others, through the coordinator. */
+  private void share(long now, HostMessage message) {
     if (coordinator.isPresent()) {
-      dispatch(now, coordinator.get().publishEvidence(evidence));
+      dispatch(now, coordinator.get().share(message));
     } else {
-      sendToCoordinator(now, new HostMessage.CrashEvidence(List.of(evidence)));
+      sendToCoordinator(now, message);
     }
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/AttemptResult.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/AttemptResult.java
@@ -10,14 +10,21 @@
  * @param status HTTP status of the response; zero if there was none
  * @param relativeWorkPercent current run time at the upstream, in percent of its usual run time;
  *     zero if unknown
+ * @param notice what the upstream said of itself
  */
-public record AttemptResult(Completion completion, int status, int relativeWorkPercent) {
+public record AttemptResult(
+    Completion completion, int status, int relativeWorkPercent, UpstreamNotice notice) {
   /** Statuses that tell a caller that its request has not run and never will. */
   private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
   /** Returns the result of an attempt that got no response. */
   public static AttemptResult withoutResponse(Completion completion) {
-    return new AttemptResult(completion, 0, 0);
+    return new AttemptResult(completion, 0, 0, UpstreamNotice.NONE);
+  }
+
+  /** Returns the result of an attempt whose response says nothing of the upstream. */
+  public static AttemptResult of(Completion completion, int status) {
+    return new AttemptResult(completion, status, 0, UpstreamNotice.NONE);
   }
 
   /**
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/CrashGuard.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/CrashGuard.java
@@ -4,11 +4,14 @@
 import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.log.LogEntry;
 import dev.hornbeamwheel.core.host.slots.Completion;
+import dev.hornbeamwheel.core.model.UpstreamId;
 import dev.hornbeamwheel.core.recovery.Evidence;
 import dev.hornbeamwheel.core.recovery.Quarantine;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Collects the evidence of this host about requests that crash upstreams, and decides which
@@ -43,6 +46,20 @@
     return quarantine.isSuspect(fingerprint) || detector.isInDoubt(fingerprint);
   }
 
+  /**
+   * Returns the upstreams that must not run a request because it and one that runs there may each
+   * have ended an upstream: such requests run apart from each other.
+   */
+  Set<UpstreamId> upstreamsClosedTo(InFlightRequest request, Collection<InFlightRequest> inFlight) {
+    if (!isSuspect(request)) {
+      return Set.of();
+    }
+    return inFlight.stream()
+        .filter(other -> other.state == InFlightRequest.State.RUNNING && isSuspect(other))
+        .map(other -> other.upstream.id())
+        .collect(Collectors.toSet());
+  }
+
   /** Records the end of an attempt at the upstream of a request. */
   List<RequestEffect> attemptEnded(long nowMillis, InFlightRequest request, AttemptResult result) {
     long fingerprint = request.head.fingerprint();
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/FinalResponses.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/FinalResponses.java
@@ -52,6 +52,12 @@
     }
   }
 
+  /** Rejects a request that ended upstreams before; the response promises nothing. */
+  void refuseQuarantined(long nowMillis, InFlightRequest request, long remainingMillis) {
+    String reason = "ended upstreams before; refused for " + remainingMillis + " ms";
+    respondWithError(nowMillis, request, ErrorResponse.QUARANTINED, 0, reason);
+  }
+
   /** Forwards the upstream's response, unless it makes a promise that the upstream did not make. */
   void forward(long nowMillis, InFlightRequest request, AttemptResult result) {
     if (result.promisesNotRun() && !request.idempotent()) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalUpstreamSelector.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalUpstreamSelector.java
@@ -108,6 +108,11 @@
         .map(entry -> recordColdSend(nowMillis, entry));
   }
 
+  /** Returns the last known owner of a key, if it is usable. */
+  Optional<UpstreamRegistration> owner(ServiceId service, OptionalInt key) {
+    return key.isPresent() ? usableOwner(service, key.getAsInt()) : Optional.empty();
+  }
+
   private Optional<UpstreamRegistration> usableOwner(ServiceId service, int key) {
     return owners(service).owner(key).flatMap(catalog::upstream).filter(catalog::usable);
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
@@ -97,6 +97,9 @@
   /** Reports new evidence about a request that crashes upstreams to all hosts. */
   record ReportEvidence(Evidence evidence) implements RequestEffect {}
 
+  /** Reports an upstream that leaves by its own word to all hosts. */
+  record ReportLeaving(UpstreamIncarnation upstream) implements RequestEffect {}
+
   /** Writes a log entry. */
   record Log(LogEntry entry) implements RequestEffect {}
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -17,9 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Processes each request of this host from its arrival to its single final response.
@@ -29,7 +29,10 @@
  * known not to have run: the upstream reported so, or no connection could be made.
  */
 public final class RequestFlow {
+  private static final String CLOSED_REASON = "upstreams asked for no requests for a time";
+
   private final Catalog catalog;
+  private final UpstreamNotices notices;
   private final CrashGuard crashGuard;
   private final LocalUpstreamSelector localSelector;
   private final RetryPolicy retryPolicy = new RetryPolicy();
@@ -49,6 +52,7 @@
     this.localSelector = new LocalUpstreamSelector(catalog, localDataCentre, random);
     this.responses = new FinalResponses(catalog, effects);
     this.inFlight = responses.inFlight();
+    this.notices = new UpstreamNotices(catalog, localSelector, responses.log());
     this.admission = new Admission(catalog, responses, random);
   }
 
@@ -133,6 +137,12 @@
       return drainEffects();
     }
     request.decidedByCoordinator = true;
+    long closedMillis = notices.closures().closedMillis(nowMillis, entry.get());
+    if (closedMillis > 0) {
+      effects.add(RequestEffect.ReleaseSlot.unused(slotRequestNumber, upstream));
+      turnAway(nowMillis, request, closedMillis);
+      return drainEffects();
+    }
     request.fencingToken = fencingToken;
     send(nowMillis, request, entry.get());
     return drainEffects();
@@ -159,6 +169,7 @@
     }
     recordAttemptEnd(nowMillis, request, result);
     recordEvidence(nowMillis, crashGuard.attemptEnded(nowMillis, request, result));
+    effects.addAll(notices.received(nowMillis, request, result.notice()));
     if (request.callerDisconnected) {
       responses.finish(nowMillis, request, "caller disconnected; " + result.completion());
       return drainEffects();
@@ -200,6 +211,12 @@
     return drainEffects();
   }
 
+  /** Handles an upstream that said in its response to an order that it leaves. */
+  public List<RequestEffect> upstreamLeaving(UpstreamId upstream) {
+    effects.addAll(notices.leaving(upstream));
+    return drainEffects();
+  }
+
   /** Handles an established connection to the coordinator; reports the running requests to it. */
   public List<RequestEffect> coordinatorConnected(long nowMillis) {
     coordinator.connected(nowMillis);
@@ -284,12 +301,18 @@
   private void requestSlot(long nowMillis, InFlightRequest request) {
     request.state = State.AWAITING_SLOT;
     if (crashGuard.refuses(nowMillis, request)) {
-      refuseQuarantined(nowMillis, request);
+      responses.refuseQuarantined(
+          nowMillis, request, crashGuard.remainingMillis(nowMillis, request));
       return;
     }
     request.decidedByCoordinator = false;
     request.slotRequestNumber = nextSlotRequestNumber++;
     request.slotRequestedMillis = nowMillis;
+    OptionalLong closedMillis = notices.closedMillis(nowMillis, request);
+    if (closedMillis.isPresent()) {
+      responses.refuse(nowMillis, request, closedMillis.getAsLong(), CLOSED_REASON);
+      return;
+    }
     if (!coordinator.usable(nowMillis)) {
       selectLocally(nowMillis, request);
       return;
@@ -297,6 +320,7 @@
     awaitingSlot.put(request.slotRequestNumber, request);
     if (!request.keyed) {
       request.excludedUpstreams.addAll(localSelector.unreachableUpstreams(nowMillis));
+      request.excludedUpstreams.addAll(notices.closures().closed(nowMillis));
     }
     effects.add(
         new RequestEffect.RequestSlot(
@@ -321,9 +345,10 @@
   }
 
   private void selectLocally(long nowMillis, InFlightRequest request) {
-    Set<UpstreamId> withSuspects = upstreamsClosedTo(request);
+    Set<UpstreamId> withSuspects = crashGuard.upstreamsClosedTo(request, inFlight.values());
     Set<UpstreamId> excluded = new HashSet<>(request.excludedUpstreams);
     excluded.addAll(withSuspects);
+    excluded.addAll(notices.closures().closed(nowMillis));
     Optional<UpstreamRegistration> selected =
         localSelector
             .select(nowMillis, request.service, request.key(), excluded)
@@ -339,20 +364,6 @@
     }
   }
 
-  /**
-   * Returns the upstreams that must not run a request because it and a request there may each have
-   * ended an upstream: such requests run apart from each other.
-   */
-  private Set<UpstreamId> upstreamsClosedTo(InFlightRequest request) {
-    if (!crashGuard.isSuspect(request)) {
-      return Set.of();
-    }
-    return inFlight.values().stream()
-        .filter(other -> other.state == State.RUNNING && crashGuard.isSuspect(other))
-        .map(other -> other.upstream.id())
-        .collect(Collectors.toSet());
-  }
-
   private void cancelSlotRequest(InFlightRequest request) {
     if (awaitingSlot.remove(request.slotRequestNumber) != null) {
       effects.add(new RequestEffect.CancelSlotRequest(request.slotRequestNumber));
@@ -446,13 +457,13 @@
     }
   }
 
-  /** Rejects a request that ended upstreams before; the response promises nothing. */
-  private void refuseQuarantined(long nowMillis, InFlightRequest request) {
-    String reason =
-        "ended upstreams before; refused for "
-            + crashGuard.remainingMillis(nowMillis, request)
-            + " ms";
-    responses.respondWithError(nowMillis, request, ErrorResponse.QUARANTINED, 0, reason);
+  /** Handles a slot at an upstream that wants no requests of this host now. */
+  private void turnAway(long nowMillis, InFlightRequest request, long closedMillis) {
+    if (request.keyed) {
+      responses.refuse(nowMillis, request, closedMillis, CLOSED_REASON);
+    } else {
+      requestSlot(nowMillis, request);
+    }
   }
 
   private void recordEvidence(long nowMillis, List<RequestEffect> evidence) {
@@ -468,7 +479,8 @@
         .forEach(
             request -> {
               cancelSlotRequest(request);
-              refuseQuarantined(nowMillis, request);
+              responses.refuseQuarantined(
+                  nowMillis, request, crashGuard.remainingMillis(nowMillis, request));
             });
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
@@ -62,6 +62,17 @@
             .with("answer", error.name()));
   }
 
+  /** Returns the entry of a response in which an upstream said something of itself. */
+  RequestEffect noticeReceived(InFlightRequest request, UpstreamNotice notice) {
+    return new RequestEffect.Log(
+        LogEntry.of("upstream-notice")
+            .with("upstream", request.upstream.id().value())
+            .with("request", request.head.attemptId())
+            .with("leaving", notice.leaving() ? 1 : 0)
+            .with("retryAfterMillis", notice.retryAfterMillis())
+            .with("ignored", notice.ignored()));
+  }
+
   /** Returns the entry of a failed attempt at an upstream. */
   RequestEffect attemptFailed(long nowMillis, InFlightRequest request, AttemptResult result) {
     return new RequestEffect.Log(
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
@@ -57,7 +57,7 @@
             1,
             new HostIdentity(HostId.of("e-1"), VANNES, ADDRESS, HostCapacity.unknown(), 10_000, 1),
             catalog,
-            Quarantine.empty());
+            new KnowledgeExchange(catalog, Quarantine.empty()));
     coordinator.receive(
         0, LINK, new HostMessage.Hello(HostId.of("e-2"), VANNES, HostCapacity.unknown()));
   }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CrashEvidenceOverLinksTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CrashEvidenceOverLinksTest.java
@@ -171,7 +171,7 @@
     start();
     crash(simulation.otherHosts().get(0));
     var unused =
-        end(simulation.otherHosts().get(1), CRASHING, new AttemptResult(Completion.SERVED, 200, 0));
+        end(simulation.otherHosts().get(1), CRASHING, AttemptResult.of(Completion.SERVED, 200));
     crash(simulation.otherHosts().get(2));
 
     simulation.otherHosts().forEach(host -> assertThat(arrive(host, CRASHING)).isPresent());
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/KindNamesTest.java
@@ -28,7 +28,8 @@
             entry(HostMessage.KeyMap.class, "KeyMap"),
             entry(HostMessage.KeyMapChange.class, "KeyMapChange"),
             entry(HostMessage.CatalogChange.class, "CatalogChange"),
-            entry(HostMessage.CrashEvidence.class, "CrashEvidence"));
+            entry(HostMessage.CrashEvidence.class, "CrashEvidence"),
+            entry(HostMessage.UpstreamsLeaving.class, "UpstreamsLeaving"));
   }
 
   @Test
@@ -59,6 +60,7 @@
             entry(HostEvent.AttemptEnded.class, "AttemptEnded"),
             entry(HostEvent.UpstreamChecked.class, "UpstreamChecked"),
             entry(HostEvent.QuarantineLifted.class, "QuarantineLifted"),
+            entry(HostEvent.UpstreamLeaving.class, "UpstreamLeaving"),
             entry(HostEvent.Stopping.class, "Stopping"));
   }
 
--- a/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/request/RequestFlowTest.java
@@ -178,8 +178,7 @@
     fresh.configure();
     RequestRef ref = fresh.sendRequest(1, idempotent ? "/lookup/1" : "/order/1");
 
-    fresh.collect(
-        fresh.flow.attemptEnded(10, ref, new AttemptResult(Completion.SERVED, status, 0)));
+    fresh.collect(fresh.flow.attemptEnded(10, ref, AttemptResult.of(Completion.SERVED, status)));
 
     boolean promise = status == 408 || status == 421 || status == 429 || status == 503;
     if (promise && !idempotent) {
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/KeyedUpstreamStandin.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/KeyedUpstreamStandin.java
@@ -5,6 +5,7 @@
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.io.InterruptedIOException;
@@ -30,6 +31,7 @@
       HttpString.tryFromString(PREFIX + "Response-Signature");
   private static final HttpString NOT_EXECUTED = HttpString.tryFromString(PREFIX + "Not-Executed");
   private static final HttpString LOAD = HttpString.tryFromString(PREFIX + "Server-Load");
+  private static final HttpString LEAVING = HttpString.tryFromString("Server-Leaving");
   private static final HttpString HANDOVER = HttpString.tryFromString(PREFIX + "Handover");
 
   /** What the upstream does with a request. */
@@ -53,7 +55,10 @@
   private final Undertow server;
   private final List<Hold> holds = new CopyOnWriteArrayList<>();
   private final AtomicInteger runs = new AtomicInteger();
+  private final List<Long> arrivalNanos = new CopyOnWriteArrayList<>();
   private volatile Behaviour behaviour = Behaviour.SERVE;
+  private volatile boolean leaving;
+  private volatile String retryAfter = "";
   private volatile int answerBytes;
   private volatile long runMillis;
 
@@ -98,6 +103,21 @@
     runMillis = millis;
   }
 
+  /** Says in all its answers from now on that it leaves; its registration does not change. */
+  public void announceLeaving() {
+    leaving = true;
+  }
+
+  /** Sets the value of the Retry-After header with which it sheds requests; empty for none. */
+  public void shedWithRetryAfter(String seconds) {
+    retryAfter = seconds;
+  }
+
+  /** Returns the times at which requests have arrived, orders left out, in nanoseconds. */
+  public List<Long> arrivalNanos() {
+    return List.copyOf(arrivalNanos);
+  }
+
   /** Returns how many requests it has begun to run. */
   public int runs() {
     return runs.get();
@@ -119,6 +139,9 @@
 
   private void handle(HttpServerExchange exchange) throws IOException {
     String path = exchange.getRequestPath();
+    if (leaving) {
+      exchange.getResponseHeaders().put(LEAVING, "1");
+    }
     String expected = exchange.getRequestHeaders().getFirst(PREFIX + "Expected-Instance");
     if (expected != null && !expected.equals(id)) {
       exchange.setStatusCode(MISDIRECTED);
@@ -133,6 +156,7 @@
   }
 
   private void serve(HttpServerExchange exchange) throws IOException {
+    arrivalNanos.add(System.nanoTime());
     String attempt = exchange.getRequestHeaders().getFirst(ATTEMPT_ID);
     if (attempt != null) {
       exchange.getResponseHeaders().put(ATTEMPT_ID, attempt);
@@ -145,6 +169,9 @@
     }
     if (behaviour == Behaviour.SHED) {
       exchange.setStatusCode(UNAVAILABLE);
+      if (!retryAfter.isEmpty()) {
+        exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfter);
+      }
       exchange.getResponseHeaders().put(NOT_EXECUTED, "1");
       return;
     }
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
@@ -1,5 +1,6 @@
 package dev.hornbeamwheel.wire;
 
+import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.node.HostMessage;
 import dev.hornbeamwheel.core.host.slots.Completion;
@@ -18,6 +19,7 @@
 import dev.hornbeamwheel.proto.host.KeyMapBody;
 import dev.hornbeamwheel.proto.host.OwnedRange;
 import dev.hornbeamwheel.proto.host.RefuseBody;
+import dev.hornbeamwheel.proto.host.UpstreamsLeavingBody;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -94,6 +96,8 @@
       frame.setCatalogChange(CatalogChangeMapping.toProto(change.changes()));
     } else if (message instanceof HostMessage.CrashEvidence evidence) {
       frame.setCrashEvidence(CrashEvidenceMapping.toProto(evidence));
+    } else if (message instanceof HostMessage.UpstreamsLeaving leaving) {
+      frame.setUpstreamsLeaving(leaving(leaving));
     }
   }
 
@@ -143,6 +147,7 @@
         case CATALOG_CHANGE ->
             new HostMessage.CatalogChange(CatalogChangeMapping.fromProto(frame.getCatalogChange()));
         case CRASH_EVIDENCE -> CrashEvidenceMapping.fromProto(frame.getCrashEvidence());
+        case UPSTREAMS_LEAVING -> leaving(frame.getUpstreamsLeaving());
         case BODY_NOT_SET -> throw new IllegalArgumentException("a frame without a message");
       };
     } catch (IllegalArgumentException e) {
@@ -150,6 +155,28 @@
     }
   }
 
+  private static UpstreamsLeavingBody leaving(HostMessage.UpstreamsLeaving message) {
+    UpstreamsLeavingBody.Builder body = UpstreamsLeavingBody.newBuilder();
+    message
+        .upstreams()
+        .forEach(
+            upstream ->
+                body.addUpstreamsBuilder()
+                    .setUpstream(upstream.id().value())
+                    .setStartedUnixMillis(upstream.startedUnixMillis()));
+    return body.build();
+  }
+
+  private static HostMessage leaving(UpstreamsLeavingBody body) {
+    return new HostMessage.UpstreamsLeaving(
+        body.getUpstreamsList().stream()
+            .map(
+                upstream ->
+                    new UpstreamIncarnation(
+                        UpstreamId.of(upstream.getUpstream()), upstream.getStartedUnixMillis()))
+            .toList());
+  }
+
   private static AskBody ask(HostMessage.SlotRequest ask) {
     return AskBody.newBuilder()
         .setAsk(ask.requestNumber())
--- a/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
@@ -85,6 +85,7 @@
                 new Evidence(-7, upstream, Evidence.Kind.CRASHED, 1_200),
                 new Evidence(8, upstream, Evidence.Kind.COMPLETED, 0),
                 Evidence.lifted(9))));
+    assertKept(new HostMessage.UpstreamsLeaving(List.of(upstream)));
     assertKept(
         new HostMessage.SlotRequest(
             3, LEDGER, OptionalInt.of(0), 1, 900, 400, true, true, Set.of(upstream.id())));
