--- a/core/src/test/java/dev/hornbeamwheel/core/host/request/CrashDetectorTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/request/CrashDetectorTest.java
@@ -16,7 +16,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
-/** Tells lost connections to upstreams that ended from those to upstreams that live. */
+/** Distinguishes connections lost to an ended upstream from those lost to a running one. */
 final class CrashDetectorTest {
   private static final ServiceId DESK = ServiceId.of("order-desk");
   private static final Address ADDRESS = new Address("10.0.0.1", 80);
--- a/ctl/src/main/java/dev/hornbeamwheel/ctl/ExplainRequest.java
+++ b/ctl/src/main/java/dev/hornbeamwheel/ctl/ExplainRequest.java
@@ -13,7 +13,7 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
-/** Tells from log files what became of a request, and what happened around it. */
+/** Explains from log files what became of a request, and what happened around it. */
 final class ExplainRequest {
   /** How long before the end of a request its surroundings are looked at, in milliseconds. */
   private static final long BEFORE_MILLIS = 5_000;
