Review: show that a grant of a killed coordinator, held up by a cut, gives keys to two upstreams

The case: the coordinator is cut off from an upstream and is killed while a grant is on its way. The next coordinator moves the keys away, the link heals, and the grant arrives: the upstream takes the keys again with a lower fence, while another holds them (OWNER). It becomes case 1; the late grant of an earlier term becomes case 2, with its stand-ins shared.

--- a/review/standins/review/HostProcess.java
+++ b/review/standins/review/HostProcess.java
@@ -1,6 +1,7 @@
 package review;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ConnectException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
@@ -8,9 +9,9 @@
 import java.net.URL;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** One entry host, started as a process with the command of the deploy file. */
@@ -58,16 +59,9 @@
     return this;
   }
 
-  long pid() {
-    return process.pid();
-  }
-
-  boolean alive() {
-    return process.isAlive();
-  }
-
-  int exitCode() {
-    return process.exitValue();
+  /** Kills the process, as SIGKILL does. */
+  void kill() {
+    process.destroyForcibly();
   }
 
   List<String> logLines() throws IOException {
@@ -104,15 +98,16 @@
     }
   }
 
+  /** Returns free ports below those that the system gives to outgoing connections. */
   private static int[] freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
     int[] ports = new int[count];
-    for (int i = 0; i < count; i++) {
-      sockets.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
-      ports[i] = sockets.get(i).getLocalPort();
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
+    for (int i = 0; i < count; ) {
+      int port = ThreadLocalRandom.current().nextInt(11_000, 30_000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        ports[i++] = socket.getLocalPort();
+      } catch (BindException e) {
+        // Taken by another process; the next one may be free.
+      }
     }
     return ports;
   }
--- a/review/standins/review/Record.java
+++ b/review/standins/review/Record.java
@@ -11,6 +11,7 @@
 final class Record implements AutoCloseable {
   private final long startNanos = System.nanoTime();
   private final BufferedWriter out;
+  private boolean closed;
 
   private Record(BufferedWriter out) {
     this.out = out;
@@ -26,6 +27,9 @@
   }
 
   synchronized void line(String format, Object... values) {
+    if (closed) {
+      return;
+    }
     try {
       out.write(String.format(Locale.ROOT, "%8.3f  ", seconds()));
       out.write(String.format(Locale.ROOT, format, values));
@@ -43,6 +47,7 @@
 
   @Override
   public synchronized void close() throws IOException {
+    closed = true;
     out.close();
   }
 }
--- a/review/standins/review/Upstream.java
+++ b/review/standins/review/Upstream.java
@@ -59,14 +59,18 @@
     return upstream;
   }
 
-  /** Returns its registration as it lies in the store. */
-  String registration(String service, String zone, boolean draining) {
+  int port() {
+    return server.getLocalPort();
+  }
+
+  /** Returns its registration, with the port at which hosts reach it, as it lies in the store. */
+  String registration(int port, String service, String zone, boolean draining) {
     return String.format(
         Locale.ROOT,
         "{\"address\":\"127.0.0.1:%d\",\"born\":%d,"
             + "\"server_info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\",\"slots\":2},"
             + "\"status\":{\"state\":\"%s\",\"sequence\":4,\"cold_remaining_ms\":0}}",
-        server.getLocalPort(),
+        port,
         bornMillis,
         service,
         zone,
