Review: show that a repeated answer to a grant hides an unanswered one, so that two upstreams get its keys

The coordinator takes it as answered, moves the keys after a release, and the upstream takes them again with a lower fence (OWNER).

--- a/review/standins/review/Upstream.java
+++ b/review/standins/review/Upstream.java
@@ -42,6 +42,7 @@
   private final long[] highestFence = new long[65_536];
   private Predicate<Hold> leftUnanswered = hold -> false;
   private long lateMillis;
+  private boolean repeatingAnswers;
   private GrantListener grants = (upstream, hold, late) -> {};
   private volatile long runMillis = 20;
 
@@ -87,6 +88,11 @@
     lateMillis = carriedOutAfterMillis;
   }
 
+  /** Sends the earlier answer once more where the answer to an unanswered grant is expected. */
+  synchronized void repeatAnswers() {
+    repeatingAnswers = true;
+  }
+
   void onGrant(GrantListener listener) {
     grants = listener;
   }
@@ -176,8 +182,10 @@
     long holdMillis = order.path("hold_ms").asLong();
     Hold hold = new Hold(first, last, fence, System.nanoTime() + holdMillis * 1_000_000);
     boolean unanswered;
+    boolean repeating;
     synchronized (this) {
       unanswered = leftUnanswered.test(hold);
+      repeating = repeatingAnswers;
     }
     record.line(
         "%s: grant of keys %d-%d, fence %d, hold %d ms%s",
@@ -189,7 +197,7 @@
             record.line("%s: carries out the late grant of keys %d-%d, fence %d", id, first, last, fence);
             carryOut(hold, true);
           });
-      return null;
+      return repeating ? response("200 OK", "Content-Type: application/json", "") : null;
     }
     return carryOut(hold, false)
         ? response("200 OK", "Content-Type: application/json", "")
