--- a/review/standins/review/HostProcess.java
+++ b/review/standins/review/HostProcess.java
@@ -56,6 +56,7 @@
     builder.redirectErrorStream(true);
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
     process = builder.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
     return this;
   }
 
--- a/review/standins/review/KeyedSite.java
+++ b/review/standins/review/KeyedSite.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 /**
  * A small deployment with a keyed service: a store, three upstreams behind links, three hosts and
@@ -100,12 +101,22 @@
           }
           host.close();
         }
+        deleteFolder();
       }
     }
     record.result("%d grants gave keys under a fence that another upstream's was above", broken.get());
     return broken.get() > 0 ? 1 : 0;
   }
 
+  private void deleteFolder() throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+    Files.delete(folder);
+  }
+
   /** Plays the disruption and the planned work. */
   abstract void play(Store store) throws IOException;
 
