--- a/review/standins/review/HostProcess.java
+++ b/review/standins/review/HostProcess.java
@@ -94,8 +94,14 @@
 
   @Override
   public void close() throws IOException {
-    if (process != null) {
-      process.destroyForcibly();
+    if (process == null) {
+      return;
+    }
+    process.destroyForcibly();
+    try {
+      process.waitFor();
+    } catch (InterruptedException e) {
+      throw new IOException(e);
     }
   }
 
--- a/review/standins/review/KeyedSite.java
+++ b/review/standins/review/KeyedSite.java
@@ -14,6 +14,9 @@
  * callers. Checks the fence of each grant that an upstream carries out.
  */
 abstract class KeyedSite {
+  /** Exit code that the Java runtime doesn't use for failures of its own; run.sh turns it into 1. */
+  private static final int RULE_BROKEN = 10;
+
   private static final String CONFIGURATION =
       """
       {"version":"r7","routes":[
@@ -51,13 +54,13 @@
     KeyedSite create(Record record, boolean trouble) throws IOException;
   }
 
-  /** Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
+  /** Runs a case and exits: 10 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
   static void runAndExit(String recordFile, Factory factory) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     int exit = 2;
     try (Record record = Record.at(Path.of(recordFile))) {
       exit = factory.create(record, trouble).run();
-    } catch (IOException e) {
+    } catch (Exception | Error e) {
       System.out.println("the case could not run: " + e);
     }
     System.exit(exit);
@@ -105,7 +108,7 @@
       }
     }
     record.result("%d grants gave keys under a fence that another upstream's was above", broken.get());
-    return broken.get() > 0 ? 1 : 0;
+    return broken.get() > 0 ? RULE_BROKEN : 0;
   }
 
   private void deleteFolder() throws IOException {
