--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantHoldTimes.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantHoldTimes.java
@@ -7,6 +7,9 @@
   /** Hold time of a grant that probes an unresponsive upstream, in milliseconds. */
   private static final long PROBE_HOLD_MILLIS = 500;
 
+  /** Shortest hold time that is worth a grant to the previous owner, in milliseconds. */
+  private static final long MIN_FENCE_HOLD_MILLIS = 200;
+
   /**
    * Time after the expiry of grants within which the keys of a lost owner are usually reassigned,
    * in milliseconds.
@@ -48,6 +51,28 @@
         : OptionalLong.of(PROBE_HOLD_MILLIS);
   }
 
+  /**
+   * Returns the hold time of a grant to the previous owner of a range, by which it refuses late
+   * grants; empty if such a grant would delay the hand-over.
+   *
+   * <p>While the previous owner does not answer, the grant must not outlast the ones before it.
+   */
+  OptionalLong fenceHoldMillis(long nowMillis, OwnedRange range) {
+    KeyOwner previousOwner = range.assignment().previousOwner().orElseThrow();
+    GrantTracker grants = range.previousOwnerGrants();
+    if (grants.expired(nowMillis)) {
+      return OptionalLong.of(MIN_FENCE_HOLD_MILLIS);
+    }
+    long usualMillis = Math.min(KeyedService.HOLD_MILLIS, holdMaxMillis);
+    if (!detector.failedSinceLastAnswer(previousOwner.incarnation())) {
+      return OptionalLong.of(usualMillis);
+    }
+    long longestMillis = GrantTracker.longestHoldMillis(nowMillis, grants.latestExpiryMillis());
+    return longestMillis < MIN_FENCE_HOLD_MILLIS
+        ? OptionalLong.empty()
+        : OptionalLong.of(Math.min(usualMillis, longestMillis));
+  }
+
   /** Returns whether a probe could delay the reassignment of a range that is about to happen. */
   private boolean delaysReassignment(long nowMillis, OwnedRange range) {
     long expiryMillis = range.ownerGrants().latestExpiryMillis();
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/GrantTracker.java
@@ -12,6 +12,11 @@
  * hold time after its answer. An unanswered grant may be processed late, but its hold time also
  * starts when it arrives, which is before its call is reset. A busy process may reset a call later
  * than planned, so the expiry of a grant is not certain while the grant is in flight.
+ *
+ * <p>A release ends the grants that were carried out before it. Others may be carried out after it:
+ * those that were not certainly answered, and those of an earlier coordinator, which may have been
+ * killed while a partition held them up. An upstream refuses them once it has carried out a grant
+ * with a greater fencing token.
  */
 final class GrantTracker {
   /** Time after which a call without an answer is reset, in milliseconds. */
@@ -22,6 +27,9 @@
    */
   private static final long MAX_TRANSIT_MILLIS = 100;
 
+  /** Allowance for calls that a busy process resets late, in milliseconds. */
+  private static final long RESET_MARGIN_MILLIS = 200;
+
   /** The clocks of upstreams may be slower than the local clock by one part in this many. */
   private static final long CLOCK_DRIFT_DIVISOR = 50;
 
@@ -33,13 +41,15 @@
   /**
    * A grant that has not been answered yet.
    *
+   * @param fencingToken its fencing token
    * @param sentMillis time at which it was sent
    * @param holdMillis hold time, in milliseconds
    * @param latestExpiryMillis latest expiry if it stays unanswered and is reset on time
    */
-  private record InFlightGrant(long sentMillis, long holdMillis, long latestExpiryMillis) {
+  private record InFlightGrant(
+      long fencingToken, long sentMillis, long holdMillis, long latestExpiryMillis) {
     private InFlightGrant postponed(long millis) {
-      return new InFlightGrant(sentMillis, holdMillis, latestExpiryMillis + millis);
+      return new InFlightGrant(fencingToken, sentMillis, holdMillis, latestExpiryMillis + millis);
     }
   }
 
@@ -54,9 +64,21 @@
   /** Time until which an answered grant certainly lasts. */
   private long confirmedUntilMillis = NEVER;
 
-  /** Latest time at which a grant of an earlier coordinator may arrive. */
+  /** Latest time at which a grant of an earlier coordinator may arrive, if it is reset on time. */
   private long inheritedArrivalMillis = NEVER;
 
+  /** Greatest fencing token that a grant of an earlier coordinator may have; zero without any. */
+  private long inheritedToken;
+
+  /** Latest expiry of grants that may be carried out after they seemed to have ended. */
+  private long lateExpiryMillis = NEVER;
+
+  /** Greatest fencing token of these grants. */
+  private long lateToken;
+
+  /** Greatest fencing token of a grant that was certainly carried out; lower ones are refused. */
+  private long carriedOutToken;
+
   private GrantTracker() {}
 
   /** Returns a tracker without grants. */
@@ -68,15 +90,23 @@
    * Returns a tracker of grants that earlier coordinators may have sent.
    *
    * @param expiryMillis latest time at which these grants expire
-   * @param arrivalMillis latest time at which these grants arrive
+   * @param arrivalMillis latest time at which these grants arrive, if they are reset on time
    */
   static GrantTracker grantedUntil(long expiryMillis, long arrivalMillis) {
     GrantTracker tracker = new GrantTracker();
     tracker.answeredExpiryMillis = expiryMillis;
     tracker.inheritedArrivalMillis = arrivalMillis;
+    tracker.inheritedToken = Long.MAX_VALUE;
     return tracker;
   }
 
+  /** Returns a copy for grants of earlier coordinators with fencing tokens up to this one. */
+  GrantTracker withTokensUpTo(long fencingToken) {
+    GrantTracker copy = copy();
+    copy.inheritedToken = fencingToken;
+    return copy;
+  }
+
   /** Returns the latest time at which a grant sent by now can arrive, if it is reset on time. */
   static long latestArrivalMillis(long nowMillis) {
     return nowMillis + CALL_TIMEOUT_MILLIS + MAX_TRANSIT_MILLIS;
@@ -93,6 +123,7 @@
     answeredExpiryMillis += millis;
     unansweredExpiryMillis += millis;
     inheritedArrivalMillis += millis;
+    lateExpiryMillis += millis;
   }
 
   GrantTracker copy() {
@@ -102,6 +133,10 @@
     copy.unansweredExpiryMillis = unansweredExpiryMillis;
     copy.confirmedUntilMillis = confirmedUntilMillis;
     copy.inheritedArrivalMillis = inheritedArrivalMillis;
+    copy.inheritedToken = inheritedToken;
+    copy.lateExpiryMillis = lateExpiryMillis;
+    copy.lateToken = lateToken;
+    copy.carriedOutToken = carriedOutToken;
     return copy;
   }
 
@@ -110,6 +145,7 @@
     GrantTracker merged = new GrantTracker();
     merged.confirmedUntilMillis =
         parts.stream().mapToLong(part -> part.confirmedUntilMillis).min().orElse(NEVER);
+    merged.carriedOutToken = parts.stream().mapToLong(part -> part.carriedOutToken).min().orElse(0);
     parts.forEach(
         part -> {
           merged.inFlight.putAll(part.inFlight);
@@ -119,6 +155,9 @@
               Math.max(merged.unansweredExpiryMillis, part.unansweredExpiryMillis);
           merged.inheritedArrivalMillis =
               Math.max(merged.inheritedArrivalMillis, part.inheritedArrivalMillis);
+          merged.inheritedToken = Math.max(merged.inheritedToken, part.inheritedToken);
+          merged.lateExpiryMillis = Math.max(merged.lateExpiryMillis, part.lateExpiryMillis);
+          merged.lateToken = Math.max(merged.lateToken, part.lateToken);
         });
     return merged;
   }
@@ -133,17 +172,36 @@
     return latestArrivalMillis(sentMillis) + withClockDrift(holdMillis);
   }
 
+  /**
+   * Returns the longest hold time of a grant sent now that expires by a time, even if its call is
+   * reset somewhat late; zero or less if there is none.
+   */
+  static long longestHoldMillis(long nowMillis, long expiryMillis) {
+    long withDrift = expiryMillis - latestArrivalMillis(nowMillis) - RESET_MARGIN_MILLIS;
+    return withDrift - withDrift / CLOCK_DRIFT_DIVISOR;
+  }
+
   /** Records that a grant was sent. */
-  void sent(long nowMillis, long orderId, long holdMillis) {
+  void sent(long nowMillis, long orderId, long fencingToken, long holdMillis) {
     inFlight.put(
         orderId,
-        new InFlightGrant(nowMillis, holdMillis, latestExpiryOfGrant(nowMillis, holdMillis)));
+        new InFlightGrant(
+            fencingToken, nowMillis, holdMillis, latestExpiryOfGrant(nowMillis, holdMillis)));
   }
 
-  /** Records that the upstream has carried out a grant; its hold time has started. */
-  void answered(long nowMillis, long orderId) {
+  /**
+   * Records that the upstream has carried out a grant; its hold time has started.
+   *
+   * @param verified whether the answer certainly belongs to this grant
+   */
+  void answered(long nowMillis, long orderId, boolean verified) {
     InFlightGrant grant = inFlight.remove(orderId);
     if (grant != null) {
+      if (verified) {
+        carriedOutToken = Math.max(carriedOutToken, grant.fencingToken());
+      } else {
+        mayBeLate(nowMillis, grant);
+      }
       answeredExpiryMillis =
           Math.max(
               answeredExpiryMillis,
@@ -161,9 +219,17 @@
           Math.max(
               unansweredExpiryMillis,
               nowMillis + MAX_TRANSIT_MILLIS + withClockDrift(grant.holdMillis()));
+      mayBeLate(nowMillis, grant);
     }
   }
 
+  private void mayBeLate(long nowMillis, InFlightGrant grant) {
+    lateExpiryMillis =
+        Math.max(
+            lateExpiryMillis, nowMillis + MAX_TRANSIT_MILLIS + withClockDrift(grant.holdMillis()));
+    lateToken = Math.max(lateToken, grant.fencingToken());
+  }
+
   /** Records that a grant was not sent or was not carried out. */
   void refused(long orderId) {
     inFlight.remove(orderId);
@@ -203,13 +269,33 @@
   }
 
   /**
-   * Returns whether the answer to a release that is sent now ends all grants: no grant of an
-   * earlier coordinator may still arrive, and no unanswered grant may still be carried out.
+   * Returns whether no grant is known that is likely to delay a hand-over: no grant of an earlier
+   * coordinator should still be in transit, and none of this one is left unanswered.
    */
-  boolean releaseEndsAllGrants(long nowMillis) {
+  boolean settled(long nowMillis) {
     return nowMillis > inheritedArrivalMillis && nowMillis > unansweredExpiryMillis;
   }
 
+  /**
+   * Returns whether the answer to a release that is sent now ends all grants: the upstream refuses
+   * each grant that may still be carried out, or its hold time will have passed by then.
+   */
+  boolean releaseEndsAllGrants(long nowMillis) {
+    boolean lateGrantsEnd = lateToken < carriedOutToken || nowMillis > lateExpiryMillis;
+    return lateGrantsEnd
+        && inheritedGrantsEnd()
+        && inFlight.values().stream().allMatch(grant -> grant.fencingToken() < carriedOutToken);
+  }
+
+  /**
+   * Returns whether there are no grants of earlier coordinators, or the upstream refuses them.
+   *
+   * <p>Time does not end them: one whose sender was killed arrives when a partition ends.
+   */
+  boolean inheritedGrantsEnd() {
+    return inheritedToken == 0 || inheritedToken < carriedOutToken;
+  }
+
   /** Describes the grants for a log line, with times relative to now. */
   String describe(long nowMillis) {
     return "answered grants expire by "
@@ -218,7 +304,12 @@
         + fromNow(nowMillis, unansweredExpiryMillis)
         + ", "
         + inFlight.size()
-        + " in flight";
+        + " in flight, tokens of late grants up to "
+        + lateToken
+        + ", of earlier terms up to "
+        + inheritedToken
+        + ", certainly carried out "
+        + carriedOutToken;
   }
 
   private static String fromNow(long nowMillis, long timeMillis) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/HandOverEstimate.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/HandOverEstimate.java
@@ -27,18 +27,24 @@
               ? Math.max(earliest, range.ownerGrants().latestExpiryMillis())
               : earliest;
       case RELEASING -> Math.max(earliest, releaseEndMillis(nowMillis, range));
-      case GRANTING -> earliest;
+      case FREE, GRANTING -> earliest;
     };
   }
 
   private long releaseEndMillis(long nowMillis, OwnedRange range) {
     KeyOwner previous = range.assignment().previousOwner().orElseThrow();
+    GrantTracker grants = range.previousOwnerGrants();
     if (detector.suspected(nowMillis, previous.incarnation())) {
-      return range.previousOwnerGrants().latestExpiryMillis();
+      return grants.latestExpiryMillis();
     }
-    boolean superseded = catalog.superseded(previous.incarnation(), previous.address());
-    return superseded && !range.released()
-        ? nowMillis
-        : range.previousOwnerGrants().unansweredExpiryMillis();
+    if (grants.releaseEndsAllGrants(nowMillis)
+        || catalog.superseded(previous.incarnation(), previous.address())) {
+      return nowMillis;
+    }
+    boolean willRefuseLateGrants =
+        range.fenceable()
+            && !range.released()
+            && !detector.failedSinceLastAnswer(previous.incarnation());
+    return willRefuseLateGrants ? nowMillis : grants.latestExpiryMillis();
   }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/InFlightOrders.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/InFlightOrders.java
@@ -13,18 +13,30 @@
   private final Map<Long, OwnedRange> rangesById = new HashMap<>();
   private final Map<Long, List<GrantTracker>> grantTrackers = new HashMap<>();
   private final Map<UpstreamIncarnation, Integer> countsByOwner = new HashMap<>();
+  private long nextOrderId = 1;
+
+  /**
+   * Adds a new order for a range.
+   *
+   * @param tracker the tracker that has the grant in flight; empty if the order is a release
+   * @return the id of the order
+   */
+  long start(OwnedRange range, Optional<GrantTracker> tracker) {
+    long orderId = nextOrderId++;
+    add(orderId, range, tracker);
+    range.orderSent(orderId);
+    return orderId;
+  }
 
   /**
    * Adds an order.
    *
-   * @param grant whether the order is a grant, which the tracker of the owner has in flight
+   * @param tracker the tracker that has the grant in flight; empty if the order is a release
    */
-  void add(long orderId, OwnedRange range, boolean grant) {
+  void add(long orderId, OwnedRange range, Optional<GrantTracker> tracker) {
     rangesById.put(orderId, range);
     countsByOwner.merge(owner(range), 1, Integer::sum);
-    if (grant) {
-      grantTrackers.put(orderId, List.of(range.ownerGrants()));
-    }
+    tracker.ifPresent(grants -> grantTrackers.put(orderId, List.of(grants)));
   }
 
   /** Rebuilds the index of trackers after ranges were split, merged or moved. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyAssignment.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyAssignment.java
@@ -8,13 +8,29 @@
  * @param range the keys
  * @param owner the owner
  * @param previousOwner the previous owner, if it may still hold the keys
+ * @param ownerNeverGranted whether the owner has certainly not been granted the keys yet; the
+ *     tables of earlier builds do not tell
  */
-public record KeyAssignment(KeyRange range, KeyOwner owner, Optional<KeyOwner> previousOwner) {
+public record KeyAssignment(
+    KeyRange range, KeyOwner owner, Optional<KeyOwner> previousOwner, boolean ownerNeverGranted) {
+  /**
+   * Creates an assignment whose owner gets no grant before a table without the previous owner has
+   * been stored.
+   */
+  public KeyAssignment(KeyRange range, KeyOwner owner, Optional<KeyOwner> previousOwner) {
+    this(range, owner, previousOwner, previousOwner.isPresent());
+  }
+
   KeyAssignment withRange(KeyRange part) {
-    return new KeyAssignment(part, owner, previousOwner);
+    return new KeyAssignment(part, owner, previousOwner, ownerNeverGranted);
   }
 
   KeyAssignment withoutPreviousOwner() {
     return new KeyAssignment(range, owner, Optional.empty());
   }
+
+  KeyAssignment withFencingToken(long fencingToken) {
+    return new KeyAssignment(
+        range, owner.withFencingToken(fencingToken), previousOwner, ownerNeverGranted);
+  }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyEffect.java
@@ -25,6 +25,7 @@
    * @param holdMillis time for which the upstream may hold the keys after the order arrives
    * @param handover hand-over state of the previous owner, if any
    * @param sendByMillis time after which the order must not be sent
+   * @param verified whether the answer must certainly belong to this order
    */
   record Grant(
       long orderId,
@@ -34,7 +35,8 @@
       long fencingToken,
       long holdMillis,
       Optional<String> handover,
-      long sendByMillis)
+      long sendByMillis,
+      boolean verified)
       implements KeyEffect {}
 
   /**
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyOwner.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyOwner.java
@@ -15,4 +15,8 @@
   static KeyOwner of(UpstreamRegistration registration, long fencingToken) {
     return new KeyOwner(registration.incarnation(), registration.address(), fencingToken);
   }
+
+  KeyOwner withFencingToken(long token) {
+    return new KeyOwner(incarnation, address, token);
+  }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -15,11 +15,15 @@
  * Manages which upstream owns which keys of one service during one term of the coordinator.
  *
  * <p>A change of owner is written to the store first. Then the previous owner is asked to release
- * the keys. The new owner gets its grant when the release is answered or the previous owner's
- * grants have expired. A later incarnation at the previous owner's address is asked to release the
- * keys, too, because the last renewal may have reached it. The previous owner has ended if a later
- * incarnation was seen and another upstream answers at its address; one that answers the release
- * under its id may still carry out grants that it has not answered.
+ * the keys, after a grant with a greater fencing token if it may still carry out others ({@link
+ * ReleaseStep}). Once the release is answered or its grants have expired, a table without the
+ * previous owner is written, and only then does the new owner get its grant. A table that names a
+ * previous owner thus tells the next coordinator that the new owner has not been granted the keys.
+ *
+ * <p>A later incarnation at the previous owner's address is asked to release the keys, too, because
+ * the last renewal may have reached it. The previous owner has ended if a later incarnation was
+ * seen and another upstream answers at its address; one that answers the release under its id may
+ * still carry out grants that it has not answered.
  */
 public final class KeyedService {
   /** Hold time of a grant under normal conditions, in milliseconds. */
@@ -32,10 +36,10 @@
   private static final int MAX_IN_FLIGHT_ORDERS = 2;
 
   /** Time after which a grant that is delayed in this process is dropped, in milliseconds. */
-  private static final long MAX_SEND_DELAY_MILLIS = 250;
+  static final long MAX_SEND_DELAY_MILLIS = 250;
 
   /** Delay after a failed order before the next order for the range, in milliseconds. */
-  private static final long ORDER_RETRY_DELAY_MILLIS = 250;
+  static final long ORDER_RETRY_DELAY_MILLIS = 250;
 
   /** Delay of the first assignment after the last change of eligible upstreams, in milliseconds. */
   static final long INITIAL_OWNERS_DELAY_MILLIS = 1_500;
@@ -43,6 +47,12 @@
   /** Interval between two plans of moves, in milliseconds. */
   static final long PLAN_INTERVAL_MILLIS = 200;
 
+  /**
+   * Delay after a write of the table before another one only merges ranges, in milliseconds: most
+   * are merged with the next move.
+   */
+  private static final long MERGE_DELAY_MILLIS = 1_000;
+
   /** Delay before a failed read or write of the table is retried, in milliseconds. */
   private static final long STORE_RETRY_DELAY_MILLIS = 200;
 
@@ -59,6 +69,7 @@
   private final HandOverEstimate handOverEstimate;
   private final InFlightOrders inFlightOrders = new InFlightOrders();
   private final List<KeyEffect> pendingEffects = new ArrayList<>();
+  private final KeyRecall recall;
 
   private OwnedRanges ranges = OwnedRanges.empty();
   private KeyTable pendingTable = KeyTable.empty();
@@ -70,13 +81,10 @@
   private GrantTracker inheritedGrants = GrantTracker.neverGranted();
   private long nextStoreCallMillis;
   private long nextPlanMillis;
+  private long nextMergeMillis;
   private int eligibleCount;
   private long eligibleCountChangedMillis;
-  private long nextOrderId = 1;
-
-  /** Whether the stored table names previous owners that no longer hold their keys. */
-  private boolean tableCleanupDue;
-
+  private boolean handOverDue;
   private long revision;
 
   private KeyedService(
@@ -91,6 +99,9 @@
     this.eligibility = new OwnerEligibility(catalog, detector, unreachable);
     this.handOverEstimate = new HandOverEstimate(catalog, detector);
     this.holdTimes = new GrantHoldTimes(detector, unreachable, holdMaxMillis);
+    this.recall =
+        new KeyRecall(
+            catalog, detector, holdTimes, inFlightOrders, decisionLog, pendingEffects::add);
   }
 
   /**
@@ -179,11 +190,36 @@
     List<KeyOwner> owners = ranges.stream().map(r -> r.assignment().owner()).toList();
     unreachable.update(nowMillis, owners, detector);
     ranges.all().forEach(range -> sendDueOrders(nowMillis, range, storeMaybeUnavailable));
-    if (!storePending && nowMillis >= nextStoreCallMillis && nowMillis >= nextPlanMillis) {
+    writeDueTable(nowMillis);
+    handOverDue = false;
+    return takeEffects();
+  }
+
+  /** Returns whether a hand-over can take its next step at once, without the next regular tick. */
+  public boolean handOverDue() {
+    return handOverDue;
+  }
+
+  private void writeDueTable(long nowMillis) {
+    if (storePending || nowMillis < nextStoreCallMillis) {
+      return;
+    }
+    boolean unfitOwner =
+        ranges.stream()
+            .filter(range -> range.phase() == Phase.FREE)
+            .anyMatch(range -> eligibility.needsNewOwner(nowMillis, range));
+    if (nowMillis >= nextPlanMillis || unfitOwner) {
       nextPlanMillis = nowMillis + PLAN_INTERVAL_MILLIS;
       plan(nowMillis);
+    } else if (handOverNeedsWrite(nowMillis)) {
+      proposeMoves(nowMillis, List.of());
     }
-    return takeEffects();
+  }
+
+  /** Returns whether a hand-over waits for a write of the table. */
+  private boolean handOverNeedsWrite(long nowMillis) {
+    return ranges.stream()
+        .anyMatch(range -> range.phase() == Phase.FREE || range.needsTokens(nowMillis));
   }
 
   /** Makes the next tick plan moves, because the set of upstreams has changed. */
@@ -215,8 +251,8 @@
   public List<KeyEffect> tableWritten(long nowMillis, TableWriteResult result) {
     storePending = false;
     if (result instanceof TableWriteResult.Written written) {
-      tableCleanupDue = false;
       adoptRanges(written.version(), pendingTable, GrantTracker.neverGranted());
+      handOverDue = true;
     } else if (result instanceof TableWriteResult.Unconfirmed) {
       nextStoreCallMillis = nowMillis + STORE_RETRY_DELAY_MILLIS;
       storePending = true;
@@ -236,22 +272,35 @@
       return takeEffects();
     }
     OwnedRange range = awaiting.get();
-    if (range.phase() == Phase.RELEASING) {
-      releaseEnded(nowMillis, range, result);
+    if (range.phase() != Phase.RELEASING) {
+      grantEnded(nowMillis, range, result);
     } else {
-      grantEnded(nowMillis, orderId, range, result);
+      recallEnded(nowMillis, range, result);
     }
     return takeEffects();
   }
 
+  private void recallEnded(long nowMillis, OwnedRange range, OrderResult result) {
+    if (ranges.find(range.range().first()).filter(current -> current == range).isEmpty()) {
+      // The range has got other fencing tokens or another owner since.
+      return;
+    }
+    if (range.fencing()) {
+      recall.grantEnded(nowMillis, range, result);
+    } else {
+      recall.releaseEnded(nowMillis, range, result);
+    }
+    handOverDue = true;
+  }
+
   /** Reports the result to all trackers of the grant; a range that was split has several. */
   private void recordGrantResult(long nowMillis, long orderId, OrderResult result) {
     inFlightOrders
         .grantTrackers(orderId)
         .forEach(
             tracker -> {
-              if (result instanceof OrderResult.Done) {
-                tracker.answered(nowMillis, orderId);
+              if (result instanceof OrderResult.Done done) {
+                tracker.answered(nowMillis, orderId, done.verified());
               } else if (result instanceof OrderResult.Unanswered) {
                 tracker.unanswered(nowMillis, orderId);
               } else {
@@ -279,7 +328,10 @@
                 GrantTracker.latestExpiryOfGrant(nowMillis, holdMaxMillis),
                 GrantTracker.latestArrivalMillis(nowMillis))
             : inheritedGrants;
-    adoptRanges(found.version(), found.table().orElseGet(KeyTable::empty), grants);
+    KeyTable table = found.table().orElseGet(KeyTable::empty);
+    // Each token is reserved by a write before the first grant has it.
+    long greatestToken = Math.max(nextFencingToken, table.nextFencingToken()) - 1;
+    adoptRanges(found.version(), table, grants.withTokensUpTo(greatestToken));
     loaded = true;
     log("keys-loaded", "version " + version, ranges.all().size() + " ranges");
   }
@@ -317,57 +369,14 @@
 
   private void sendDueOrders(long nowMillis, OwnedRange range, boolean storeMaybeUnavailable) {
     if (range.phase() == Phase.RELEASING) {
-      release(nowMillis, range);
-    }
-    if (range.phase() != Phase.RELEASING
+      recall.advance(nowMillis, range);
+    } else if (range.phase() != Phase.FREE
         && range.readyForOrder(nowMillis)
         && inFlightOrders.count(range.assignment().owner().incarnation()) < MAX_IN_FLIGHT_ORDERS) {
       grant(nowMillis, range, storeMaybeUnavailable);
     }
   }
 
-  private void release(long nowMillis, OwnedRange range) {
-    KeyOwner previous = range.assignment().previousOwner().orElseThrow();
-    boolean ended =
-        range.misdirected() && catalog.superseded(previous.incarnation(), previous.address());
-    if (range.previousOwnerGrants().expired(nowMillis)
-        || (range.released()
-            && (ended || nowMillis > range.previousOwnerGrants().unansweredExpiryMillis()))) {
-      pendingEffects.add(decisionLog.keysFreed(nowMillis, range, ended));
-      range.startGranting();
-      return;
-    }
-    // A grant that is still in flight could arrive after the release.
-    if (range.released()
-        || range.previousOwnerGrants().mayBeInFlight(nowMillis)
-        || !range.readyForOrder(nowMillis)) {
-      return;
-    }
-    long orderId = registerOrder(range, false);
-    pendingEffects.add(
-        new KeyEffect.Release(
-            orderId,
-            previous.incarnation().id(),
-            previous.address(),
-            range.range(),
-            previous.fencingToken()));
-  }
-
-  private void releaseEnded(long nowMillis, OwnedRange range, OrderResult result) {
-    KeyOwner previous = range.assignment().previousOwner().orElseThrow();
-    range.orderEnded(nowMillis + ORDER_RETRY_DELAY_MILLIS);
-    if (result instanceof OrderResult.Done done) {
-      range.markReleased(done.handover());
-      release(nowMillis, range);
-    } else if (result instanceof OrderResult.Misdirected) {
-      pendingEffects.add(decisionLog.orderFailed(nowMillis, "release", range, previous, result));
-      range.markMisdirected();
-      release(nowMillis, range);
-    } else {
-      pendingEffects.add(decisionLog.orderFailed(nowMillis, "release", range, previous, result));
-    }
-  }
-
   private void grant(long nowMillis, OwnedRange range, boolean storeMaybeUnavailable) {
     KeyOwner owner = range.assignment().owner();
     if (range.fenced() || catalog.superseded(owner.incarnation(), owner.address())) {
@@ -379,8 +388,8 @@
     }
     long holdMillis = hold.getAsLong();
     detector.orderSent(nowMillis, owner.incarnation());
-    long orderId = registerOrder(range, true);
-    range.ownerGrants().sent(nowMillis, orderId, holdMillis);
+    long orderId = inFlightOrders.start(range, Optional.of(range.ownerGrants()));
+    range.ownerGrants().sent(nowMillis, orderId, owner.fencingToken(), holdMillis);
     pendingEffects.add(
         new KeyEffect.Grant(
             orderId,
@@ -390,20 +399,19 @@
             owner.fencingToken(),
             holdMillis,
             range.handover(),
-            nowMillis + MAX_SEND_DELAY_MILLIS));
+            nowMillis + MAX_SEND_DELAY_MILLIS,
+            false));
   }
 
-  private void grantEnded(long nowMillis, long orderId, OwnedRange range, OrderResult result) {
+  private void grantEnded(long nowMillis, OwnedRange range, OrderResult result) {
     UpstreamIncarnation incarnation = range.assignment().owner().incarnation();
     if (result instanceof OrderResult.Done) {
-      range.ownerGrants().answered(nowMillis, orderId);
       boolean probed = detector.failedSinceLastAnswer(incarnation);
       detector.orderAnswered(nowMillis, incarnation);
       range.orderEnded(probed ? nowMillis : nowMillis + RENEWAL_INTERVAL_MILLIS);
       if (range.phase() == Phase.GRANTING) {
         range.markHeld();
         pendingEffects.add(decisionLog.keysGranted(nowMillis, range));
-        tableCleanupDue |= range.assignment().previousOwner().isPresent();
         revision++;
       }
       return;
@@ -419,35 +427,33 @@
     }
   }
 
-  private long registerOrder(OwnedRange range, boolean grant) {
-    long orderId = nextOrderId++;
-    inFlightOrders.add(orderId, range, grant);
-    range.orderSent(orderId);
-    return orderId;
-  }
-
   private void plan(long nowMillis) {
     List<UpstreamRegistration> eligible = eligibility.eligible(nowMillis, service);
-    if (eligible.isEmpty()) {
-      return;
-    }
     if (ranges.all().isEmpty()) {
       proposeInitialOwners(nowMillis, eligible);
       return;
     }
     List<KeyMove> moves =
-        MovePlan.moves(nowMillis, ranges, eligibility, eligible, demand, capacity);
-    if (!moves.isEmpty() || tableCleanupDue) {
-      proposeMoves(moves);
+        eligible.isEmpty()
+            ? List.of()
+            : MovePlan.moves(nowMillis, ranges, eligibility, eligible, demand, capacity);
+    if (!moves.isEmpty() || handOverNeedsWrite(nowMillis) || mergeDue(nowMillis)) {
+      proposeMoves(nowMillis, moves);
     }
   }
 
+  /** Returns whether neighbouring ranges of one owner should be merged, to save grants. */
+  private boolean mergeDue(long nowMillis) {
+    return nowMillis >= nextMergeMillis && TableProposal.canMerge(ranges.all());
+  }
+
   private void proposeInitialOwners(long nowMillis, List<UpstreamRegistration> eligible) {
     if (eligible.size() != eligibleCount) {
       eligibleCount = eligible.size();
       eligibleCountChangedMillis = nowMillis;
     }
-    if (nowMillis - eligibleCountChangedMillis < INITIAL_OWNERS_DELAY_MILLIS) {
+    if (eligible.isEmpty()
+        || nowMillis - eligibleCountChangedMillis < INITIAL_OWNERS_DELAY_MILLIS) {
       return;
     }
     TableProposal proposal =
@@ -455,9 +461,10 @@
     writeTable(proposal, "keys-first", proposal.size() + " ranges");
   }
 
-  private void proposeMoves(List<KeyMove> moves) {
-    ranges.stream().filter(r -> r.phase() == Phase.HELD).forEach(OwnedRange::clearPreviousOwner);
-    TableProposal proposal = TableProposal.withMoves(ranges.all(), moves, nextFencingToken);
+  private void proposeMoves(long nowMillis, List<KeyMove> moves) {
+    nextMergeMillis = nowMillis + MERGE_DELAY_MILLIS;
+    TableProposal proposal =
+        TableProposal.withMoves(nowMillis, ranges.all(), moves, nextFencingToken);
     moves.forEach(
         move -> log("keys-move", move.range() + " to " + move.target().id(), move.reason()));
     writeTable(proposal, "keys-write", moves.size() + " moves");
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/MovePlan.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/MovePlan.java
@@ -19,8 +19,8 @@
   /**
    * Returns the moves to make.
    *
-   * <p>Keys leave an owner that serves them only once the answer to a release ends all its grants;
-   * otherwise they would have no holder while the remaining grants arrive or expire.
+   * <p>Keys leave an owner that serves them only while it answers its grants; otherwise they would
+   * have no holder until it does or its grants expire.
    *
    * @param eligible upstreams that may own keys
    */
@@ -61,8 +61,7 @@
   private boolean mayStart(KeyMove move) {
     return ranges
         .find(move.range().first())
-        .filter(
-            range -> needsNewOwner(range) || range.ownerGrants().releaseEndsAllGrants(nowMillis))
+        .filter(range -> needsNewOwner(range) || range.ownerGrants().settled(nowMillis))
         .isPresent();
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OrderResult.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OrderResult.java
@@ -8,8 +8,15 @@
    * The upstream carried the order out.
    *
    * @param handover state to pass to the next owner; empty if there is none or after a grant
+   * @param verified whether the answer certainly belongs to this order; otherwise it may be a
+   *     repeated answer to an earlier one, and this order may still be carried out late
    */
-  record Done(Optional<String> handover) implements OrderResult {}
+  record Done(Optional<String> handover, boolean verified) implements OrderResult {
+    /** Creates the result of an order whose answer certainly belongs to it. */
+    public Done(Optional<String> handover) {
+      this(handover, true);
+    }
+  }
 
   /** The upstream did nothing, because it has seen a greater fencing token for one of the keys. */
   record Fenced() implements OrderResult {}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/OwnedRange.java
@@ -9,18 +9,24 @@
   enum Phase {
     /** The previous owner may still hold the keys. */
     RELEASING,
+    /** No upstream holds the keys, and the stored table still names the previous owner. */
+    FREE,
     /** No other upstream holds the keys, and the owner has not confirmed its grant yet. */
     GRANTING,
     /** The owner has confirmed its grant. */
     HELD
   }
 
-  private KeyAssignment assignment;
+  private final KeyAssignment assignment;
   private Phase phase;
   private GrantTracker ownerGrants;
   private GrantTracker previousOwnerGrants;
   private boolean released;
   private boolean misdirected;
+  private FencingTokens previousOwnerTokens = FencingTokens.none();
+  private long lastTakenToken;
+  private boolean fencing;
+  private boolean fencedAfterExpiry;
   private boolean fenced;
   private Optional<String> handover = Optional.empty();
   private long inFlightOrderId;
@@ -44,7 +50,9 @@
    */
   static OwnedRange inherited(KeyAssignment assignment, GrantTracker grants) {
     Phase phase = assignment.previousOwner().isPresent() ? Phase.RELEASING : Phase.HELD;
-    return new OwnedRange(assignment, phase, grants.copy(), grants.copy());
+    GrantTracker ownerGrants =
+        assignment.ownerNeverGranted() ? GrantTracker.neverGranted() : grants.copy();
+    return new OwnedRange(assignment, phase, ownerGrants, grants.copy());
   }
 
   /** Returns a range that no upstream has ever been granted. */
@@ -79,16 +87,51 @@
             assignment.withRange(range), phase, ownerGrants.copy(), previousOwnerGrants.copy());
     part.released = released;
     part.misdirected = misdirected;
+    part.previousOwnerTokens = previousOwnerTokens;
+    part.lastTakenToken = lastTakenToken;
+    part.fencedAfterExpiry = fencedAfterExpiry;
     part.handover = handover;
     return part;
   }
 
-  /** Returns a part of this range that starts to move to a new owner or fencing token. */
-  OwnedRange movedTo(KeyAssignment next) {
+  /**
+   * Returns a part of this range that starts to move to a new owner or fencing token.
+   *
+   * @param tokens fencing tokens for grants to the previous owner, lower than that of the new one
+   */
+  OwnedRange movedTo(KeyAssignment next, FencingTokens tokens) {
+    if (next.previousOwner().isEmpty()) {
+      return granting(next);
+    }
+    OwnedRange moved =
+        new OwnedRange(next, Phase.RELEASING, GrantTracker.neverGranted(), ownerGrants.copy());
+    moved.previousOwnerTokens = tokens;
+    return moved;
+  }
+
+  /** Returns this range, which is being released, with other fencing tokens. */
+  OwnedRange withTokens(KeyAssignment next, FencingTokens tokens) {
+    OwnedRange renewed =
+        new OwnedRange(next, phase, ownerGrants.copy(), previousOwnerGrants.copy());
+    renewed.released = released;
+    renewed.misdirected = misdirected;
+    renewed.handover = handover;
+    renewed.previousOwnerTokens = tokens;
+    renewed.lastTakenToken = lastTakenToken;
+    return renewed;
+  }
+
+  /** Returns a part of this range that only its next owner, if any upstream, may hold. */
+  OwnedRange granting(KeyAssignment next) {
     boolean sameOwner = next.owner().incarnation().equals(assignment.owner().incarnation());
-    return sameOwner
-        ? new OwnedRange(next, Phase.GRANTING, ownerGrants.copy(), previousOwnerGrants.copy())
-        : new OwnedRange(next, Phase.RELEASING, GrantTracker.neverGranted(), ownerGrants.copy());
+    OwnedRange granting =
+        new OwnedRange(
+            next,
+            Phase.GRANTING,
+            sameOwner ? ownerGrants.copy() : GrantTracker.neverGranted(),
+            GrantTracker.neverGranted());
+    granting.handover = handover;
+    return granting;
   }
 
   KeyAssignment assignment() {
@@ -161,12 +204,67 @@
     misdirected = true;
   }
 
-  /** Starts granting the range to its owner, as the previous owner no longer holds it. */
-  void startGranting() {
-    phase = Phase.GRANTING;
-    // The answer to a release that is still in flight is no longer needed.
+  /** Records that the previous owner no longer holds the range. */
+  void markFree() {
+    phase = Phase.FREE;
+    // The answer to an order that is still in flight is no longer needed.
     inFlightOrderId = 0;
-    nextOrderMillis = 0;
+  }
+
+  /**
+   * Returns whether the previous owner may be granted the range with a greater fencing token, which
+   * makes it refuse late grants: its next owner must not have been granted the range before.
+   */
+  boolean fenceable() {
+    return assignment.ownerNeverGranted() && !misdirected;
+  }
+
+  /** Returns whether fencing tokens are left for grants to the previous owner. */
+  boolean hasTokens() {
+    return previousOwnerTokens.count() > 0;
+  }
+
+  /** Returns whether tokens are left beside the last, which is kept for the time of the expiry. */
+  boolean hasSpareTokens() {
+    return previousOwnerTokens.count() > 1;
+  }
+
+  /** Returns whether late grants must be refused first, and tokens for that must be reserved. */
+  boolean needsTokens(long nowMillis) {
+    return phase == Phase.RELEASING
+        && fenceable()
+        && !released
+        && !hasSpareTokens()
+        && !previousOwnerGrants.expired(nowMillis)
+        && !previousOwnerGrants.releaseEndsAllGrants(nowMillis);
+  }
+
+  /** Returns whether the previous owner was granted the range when its grants had expired. */
+  boolean fencedAfterExpiry() {
+    return fencedAfterExpiry;
+  }
+
+  /** Takes a fencing token for a grant to the previous owner, which no other grant has. */
+  long takeToken(long nowMillis) {
+    fencedAfterExpiry = previousOwnerGrants.expired(nowMillis);
+    FencingTokens tokens = previousOwnerTokens;
+    previousOwnerTokens = tokens.withoutFirst();
+    lastTakenToken = tokens.first();
+    released = false;
+    fencing = true;
+    return lastTakenToken;
+  }
+
+  /** Returns the fencing token that the previous owner was granted the range with last. */
+  long previousOwnerToken() {
+    return lastTakenToken == 0
+        ? assignment.previousOwner().orElseThrow().fencingToken()
+        : lastTakenToken;
+  }
+
+  /** Returns whether the order in flight is a grant to the previous owner. */
+  boolean fencing() {
+    return fencing;
   }
 
   /** Records that the owner has confirmed its grant. */
@@ -180,11 +278,6 @@
     fenced = true;
   }
 
-  /** Removes the previous owner, which no longer holds the keys, from the assignment. */
-  void clearPreviousOwner() {
-    assignment = assignment.withoutPreviousOwner();
-  }
-
   /** Records that an order was sent for this range. */
   void orderSent(long orderId) {
     inFlightOrderId = orderId;
@@ -193,6 +286,7 @@
   /** Records that the order in flight has ended, and when the next one is due. */
   void orderEnded(long nextMillis) {
     inFlightOrderId = 0;
+    fencing = false;
     nextOrderMillis = nextMillis;
   }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/TableProposal.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/TableProposal.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 /** A proposed table and the changes that lead to it from the current ranges; immutable. */
 final class TableProposal {
@@ -30,10 +31,33 @@
   }
 
   /** A range that gets a new owner. */
-  private record Moved(OwnedRange source, KeyAssignment assignment) implements Part {
+  private record Moved(OwnedRange source, KeyAssignment assignment, FencingTokens tokens)
+      implements Part {
     @Override
     public OwnedRange resultingRange() {
-      return source.movedTo(assignment);
+      return source.movedTo(assignment, tokens);
+    }
+  }
+
+  /** A range that nobody holds and that its owner may be granted from now on. */
+  private record Freed(OwnedRange source) implements Part {
+    @Override
+    public KeyAssignment assignment() {
+      return source.assignment().withoutPreviousOwner();
+    }
+
+    @Override
+    public OwnedRange resultingRange() {
+      return source.granting(assignment());
+    }
+  }
+
+  /** A range whose previous owner needs further fencing tokens, lower than that of its owner. */
+  private record Retokened(OwnedRange source, KeyAssignment assignment, FencingTokens tokens)
+      implements Part {
+    @Override
+    public OwnedRange resultingRange() {
+      return source.withTokens(assignment, tokens);
     }
   }
 
@@ -64,18 +88,45 @@
                         entry.getKey(),
                         KeyOwner.of(entry.getValue(), fencingToken),
                         Optional.empty()))
-            .<Part>map(assignment -> new Moved(OwnedRange.neverHeld(assignment), assignment))
+            .<Part>map(
+                assignment ->
+                    new Moved(OwnedRange.neverHeld(assignment), assignment, FencingTokens.none()))
             .toList();
     return new TableProposal(fencingToken + 1, parts);
   }
 
-  /** Returns a proposal that applies some moves to the ranges, with a new fencing token. */
-  static TableProposal withMoves(List<OwnedRange> ranges, List<KeyMove> moves, long fencingToken) {
+  /**
+   * Returns a proposal that applies some moves to the ranges, and that lets the owners of free
+   * ranges be granted them.
+   *
+   * @param fencingToken first of the fencing tokens that the proposal may use
+   */
+  static TableProposal withMoves(
+      long nowMillis, List<OwnedRange> ranges, List<KeyMove> moves, long fencingToken) {
+    FencingTokens tokens = FencingTokens.reservedFrom(fencingToken);
     List<Part> parts =
-        ranges.stream().flatMap(range -> split(range, moves, fencingToken).stream()).toList();
-    List<Part> merged = merge(parts, fencingToken);
-    boolean tokenUsed = !moves.isEmpty() || merged.size() < parts.size();
-    return new TableProposal(tokenUsed ? fencingToken + 1 : fencingToken, merged);
+        ranges.stream().flatMap(range -> split(nowMillis, range, moves, tokens).stream()).toList();
+    List<Part> merged = merge(parts, tokens.next());
+    boolean tokensUsed =
+        merged.size() < parts.size()
+            || parts.stream().anyMatch(part -> part instanceof Moved || part instanceof Retokened);
+    return new TableProposal(tokensUsed ? tokens.next() + 1 : fencingToken, merged);
+  }
+
+  /** Returns whether adjacent ranges of one owner can be merged. */
+  static boolean canMerge(List<OwnedRange> ranges) {
+    return IntStream.range(1, ranges.size())
+        .anyMatch(index -> sameOwner(ranges.get(index - 1), ranges.get(index)));
+  }
+
+  private static boolean sameOwner(OwnedRange first, OwnedRange second) {
+    return first.mergeable()
+        && second.mergeable()
+        && first
+            .assignment()
+            .owner()
+            .incarnation()
+            .equals(second.assignment().owner().incarnation());
   }
 
   /** Merges adjacent ranges of one owner, which keeps the number of grants small. */
@@ -100,9 +151,7 @@
   }
 
   private static boolean extendsRun(Kept last, Part next) {
-    return next instanceof Kept kept
-        && kept.source().mergeable()
-        && last.assignment().owner().incarnation().equals(kept.assignment().owner().incarnation());
+    return next instanceof Kept kept && sameOwner(last.source(), kept.source());
   }
 
   private static Part mergeRun(List<Kept> run, long fencingToken) {
@@ -134,19 +183,23 @@
     return parts.size();
   }
 
-  private static List<Part> split(OwnedRange range, List<KeyMove> moves, long fencingToken) {
+  private static List<Part> split(
+      long nowMillis, OwnedRange range, List<KeyMove> moves, FencingTokens tokens) {
     List<KeyMove> movesInRange =
         moves.stream()
             .filter(move -> range.range().contains(move.range().first()))
             .sorted(Comparator.comparingInt(move -> move.range().first()))
             .toList();
+    if (movesInRange.isEmpty()) {
+      return List.of(unmoved(nowMillis, range, tokens));
+    }
     List<Part> parts = new ArrayList<>();
     int nextKey = range.range().first();
     for (KeyMove move : movesInRange) {
       if (move.range().first() > nextKey) {
         parts.add(kept(range, nextKey, move.range().first() - 1));
       }
-      parts.add(moved(range, move, fencingToken));
+      parts.add(moved(range, move, tokens));
       nextKey = move.range().last() + 1;
     }
     if (nextKey <= range.range().last()) {
@@ -155,16 +208,27 @@
     return parts;
   }
 
+  private static Part unmoved(long nowMillis, OwnedRange range, FencingTokens tokens) {
+    if (range.phase() == OwnedRange.Phase.FREE) {
+      return new Freed(range);
+    }
+    return range.needsTokens(nowMillis)
+        ? new Retokened(range, range.assignment().withFencingToken(tokens.next()), tokens)
+        : new Kept(range, range.range());
+  }
+
   private static Part kept(OwnedRange range, int first, int last) {
     return new Kept(range, new KeyRange(first, last));
   }
 
-  private static Part moved(OwnedRange range, KeyMove move, long fencingToken) {
+  private static Part moved(OwnedRange range, KeyMove move, FencingTokens tokens) {
     KeyOwner owner = range.assignment().owner();
-    KeyOwner target = KeyOwner.of(move.target(), fencingToken);
-    // Its first grant may be sent while the table is being written.
-    Optional<KeyOwner> previous =
-        owner.incarnation().equals(target.incarnation()) ? Optional.empty() : Optional.of(owner);
-    return new Moved(range, new KeyAssignment(move.range(), target, previous));
+    KeyOwner target = KeyOwner.of(move.target(), tokens.next());
+    // The first grant of an owner may be sent while the table is being written.
+    boolean mayBeHeld =
+        range.phase() != OwnedRange.Phase.FREE || !range.assignment().ownerNeverGranted();
+    boolean sameOwner = owner.incarnation().equals(target.incarnation());
+    Optional<KeyOwner> previous = mayBeHeld && !sameOwner ? Optional.of(owner) : Optional.empty();
+    return new Moved(range, new KeyAssignment(move.range(), target, previous), tokens);
   }
 }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -7,9 +7,7 @@
 import dev.hornbeamwheel.core.host.keys.KeyDemand;
 import dev.hornbeamwheel.core.host.keys.KeyEffect;
 import dev.hornbeamwheel.core.host.keys.KeyedService;
-import dev.hornbeamwheel.core.host.keys.OrderResult;
 import dev.hornbeamwheel.core.host.keys.TableReadResult;
-import dev.hornbeamwheel.core.host.keys.TableWriteResult;
 import dev.hornbeamwheel.core.host.log.LogEntry;
 import dev.hornbeamwheel.core.host.slots.KeyLookup;
 import dev.hornbeamwheel.core.host.slots.LinkId;
@@ -59,6 +57,7 @@
   private long slotRefusals;
   private long keyOrders;
   private long nowMillis;
+  private boolean storeDoubtfulAtLastTick;
 
   Coordinator(
       long nowMillis, long term, HostIdentity self, Catalog catalog, KnowledgeExchange knowledge) {
@@ -192,6 +191,7 @@
    */
   List<HostEffect> tick(long now, boolean leaseHeld, boolean storeDoubtful) {
     nowMillis = now;
+    storeDoubtfulAtLastTick = storeDoubtful;
     startKeyedServices(now);
     if (leaseHeld) {
       keyedServices.forEach(
@@ -212,18 +212,45 @@
   }
 
   List<HostEffect> tableRead(long now, ServiceId service, TableReadResult result) {
-    return applyKeyEvent(now, service, keyedService -> keyedService.tableRead(now, result));
+    applyKeyEvent(now, service, keyedService -> keyedService.tableRead(now, result));
+    return drain();
   }
 
-  List<HostEffect> tableWritten(long now, ServiceId service, TableWriteResult result) {
-    return applyKeyEvent(now, service, keyedService -> keyedService.tableWritten(now, result));
+  /**
+   * Handles the end of a write of a key table.
+   *
+   * @param leaseHeld whether this process certainly holds the lease
+   */
+  List<HostEffect> tableWritten(long now, boolean leaseHeld, HostEvent.TableWriteEnded ended) {
+    applyKeyEvent(
+        now, ended.service(), keyedService -> keyedService.tableWritten(now, ended.result()));
+    return continueHandOvers(now, leaseHeld, ended.service());
   }
 
-  List<HostEffect> orderEnded(long now, ServiceId service, long order, OrderResult result) {
-    return applyKeyEvent(now, service, keyedService -> keyedService.orderEnded(now, order, result));
+  /**
+   * Handles the end of an order to an upstream.
+   *
+   * @param leaseHeld whether this process certainly holds the lease
+   */
+  List<HostEffect> orderEnded(long now, boolean leaseHeld, HostEvent.OrderEnded ended) {
+    applyKeyEvent(
+        now,
+        ended.service(),
+        keyedService -> keyedService.orderEnded(now, ended.order(), ended.result()));
+    return continueHandOvers(now, leaseHeld, ended.service());
+  }
+
+  /** Takes the next steps of hand-overs at once, as their keys have no holder meanwhile. */
+  private List<HostEffect> continueHandOvers(long now, boolean leaseHeld, ServiceId service) {
+    Optional.ofNullable(keyedServices.get(service))
+        .filter(keyedService -> leaseHeld && keyedService.handOverDue())
+        .ifPresent(
+            keyedService ->
+                performKeyEffects(service, keyedService.tick(now, storeDoubtfulAtLastTick)));
+    return drain();
   }
 
-  private List<HostEffect> applyKeyEvent(
+  private void applyKeyEvent(
       long now, ServiceId service, Function<KeyedService, List<KeyEffect>> event) {
     nowMillis = now;
     KeyedService keyedService = keyedServices.get(service);
@@ -234,7 +261,6 @@
         sendSlotEffects(broker.ownersChanged(now, service));
       }
     }
-    return drain();
   }
 
   private void startKeyedServices(long now) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -190,12 +190,10 @@
           .ifPresent(c -> dispatch(now, c.tableRead(now, ended.service(), ended.result())));
     } else if (event instanceof HostEvent.TableWriteEnded ended) {
       coordinatorOf(ended.term())
-          .ifPresent(c -> dispatch(now, c.tableWritten(now, ended.service(), ended.result())));
+          .ifPresent(c -> dispatch(now, c.tableWritten(now, lease.isLeader(now), ended)));
     } else if (event instanceof HostEvent.OrderEnded ended) {
       coordinatorOf(ended.term())
-          .ifPresent(
-              c ->
-                  dispatch(now, c.orderEnded(now, ended.service(), ended.order(), ended.result())));
+          .ifPresent(c -> dispatch(now, c.orderEnded(now, lease.isLeader(now), ended)));
     } else {
       applyCatalogEvent(now, event);
     }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/FakeUpstream.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/FakeUpstream.java
@@ -45,6 +45,15 @@
     return new OrderResult.Done(Optional.of("handover-" + handovers++));
   }
 
+  /** Returns the ranges of the grants with a greater fencing token that it has carried out. */
+  List<KeyRange> rangesAcceptedAbove(long fencingToken) {
+    return acceptedGrants.stream()
+        .filter(accepted -> accepted.fencingToken() > fencingToken)
+        .map(HeldRange::range)
+        .distinct()
+        .toList();
+  }
+
   boolean holds(long nowMillis, int key) {
     return up
         && heldRanges.stream()
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/FuzzedTableStore.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/FuzzedTableStore.java
@@ -29,6 +29,9 @@
   boolean down;
   double faultRate;
 
+  /** Whether tables lose what earlier builds do not write. */
+  boolean withoutMarks;
+
   /** Delay with which the next write is applied after its call was given up, in milliseconds. */
   OptionalInt nextWriteLateMillis = OptionalInt.empty();
 
@@ -79,11 +82,22 @@
     if (write.expectedVersion() != version) {
       return new TableWriteResult.Unconfirmed();
     }
-    row = Optional.of(write.table());
+    row = Optional.of(withoutMarks ? withoutMarks(write.table()) : write.table());
     version++;
     return new TableWriteResult.Written(version);
   }
 
+  private static KeyTable withoutMarks(KeyTable table) {
+    return new KeyTable(
+        table.nextFencingToken(),
+        table.assignments().stream()
+            .map(
+                assignment ->
+                    new KeyAssignment(
+                        assignment.range(), assignment.owner(), assignment.previousOwner(), false))
+            .toList());
+  }
+
   private boolean faulty() {
     return random.nextDouble() < faultRate;
   }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/GrantTrackerTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/GrantTrackerTest.java
@@ -8,12 +8,13 @@
 /** Tests the bounds on how long an upstream may hold a range, by the results of its grants. */
 final class GrantTrackerTest {
   private static final long HOLD_MILLIS = 4_000;
+  private static final long TOKEN = 7;
   private static final long HOLD_ON_SLOW_CLOCK_MILLIS = 4_080;
 
   @Test
   void aGrantMayHaveArrivedUntilABusyProcessResetItsCall() {
     GrantTracker tracker = GrantTracker.neverGranted();
-    tracker.sent(0, 1, HOLD_MILLIS);
+    tracker.sent(0, 1, TOKEN, HOLD_MILLIS);
     long resetMillis = GrantTracker.CALL_TIMEOUT_MILLIS + 900;
 
     tracker.unanswered(resetMillis, 1);
@@ -25,7 +26,7 @@
   @Test
   void noExpiryIsCertainWhileAGrantIsInFlight() {
     GrantTracker tracker = GrantTracker.neverGranted();
-    tracker.sent(0, 1, HOLD_MILLIS);
+    tracker.sent(0, 1, TOKEN, HOLD_MILLIS);
 
     assertThat(tracker.expired(100_000)).isFalse();
   }
@@ -33,7 +34,7 @@
   @Test
   void aRefusedGrantDoesNotExtendTheHold() {
     GrantTracker tracker = GrantTracker.neverGranted();
-    tracker.sent(0, 1, HOLD_MILLIS);
+    tracker.sent(0, 1, TOKEN, HOLD_MILLIS);
 
     tracker.refused(1);
 
@@ -43,9 +44,9 @@
   @Test
   void anAnsweredGrantIsConfirmedForItsHoldTimeAfterSending() {
     GrantTracker tracker = GrantTracker.neverGranted();
-    tracker.sent(0, 1, HOLD_MILLIS);
+    tracker.sent(0, 1, TOKEN, HOLD_MILLIS);
 
-    tracker.answered(500, 1);
+    tracker.answered(500, 1, true);
 
     assertThat(tracker.hasConfirmedGrant(HOLD_MILLIS - 1)).isTrue();
     assertThat(tracker.hasConfirmedGrant(HOLD_MILLIS)).isFalse();
@@ -57,14 +58,14 @@
   void allExpiriesArePostponedWhenTheLocalClockJumps() {
     long jump = 60_000;
     GrantTracker answered = GrantTracker.neverGranted();
-    answered.sent(0, 1, HOLD_MILLIS);
-    answered.answered(1, 1);
+    answered.sent(0, 1, TOKEN, HOLD_MILLIS);
+    answered.answered(1, 1, true);
     GrantTracker unanswered = GrantTracker.neverGranted();
-    unanswered.sent(0, 2, HOLD_MILLIS);
+    unanswered.sent(0, 2, TOKEN, HOLD_MILLIS);
     unanswered.unanswered(GrantTracker.CALL_TIMEOUT_MILLIS, 2);
     GrantTracker inherited = GrantTracker.grantedUntil(HOLD_ON_SLOW_CLOCK_MILLIS, 1_000);
     GrantTracker inFlight = GrantTracker.neverGranted();
-    inFlight.sent(0, 3, HOLD_MILLIS);
+    inFlight.sent(0, 3, TOKEN, HOLD_MILLIS);
     long inFlightExpiry = inFlight.latestExpiryMillis();
 
     List.of(answered, unanswered, inherited, inFlight).forEach(tracker -> tracker.postpone(jump));
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/InFlightOrdersTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/InFlightOrdersTest.java
@@ -29,8 +29,8 @@
   private OwnedRange granted(long orderId, int first, int last) {
     OwnedRange range =
         OwnedRange.inherited(assignment(first, last), GrantTracker.grantedUntil(0, 0));
-    orders.add(orderId, range, true);
-    range.ownerGrants().sent(0, orderId, 3_000);
+    orders.add(orderId, range, Optional.of(range.ownerGrants()));
+    range.ownerGrants().sent(0, orderId, OWNER.fencingToken(), 3_000);
     return range;
   }
 
@@ -38,7 +38,7 @@
   @Test
   void ordersAreCountedByTheOwnerOfTheirRange() {
     granted(1, 0, 9);
-    orders.add(2, granted(3, 10, 19), false);
+    orders.add(2, granted(3, 10, 19), Optional.empty());
     assertThat(orders.count(OWNER.incarnation())).isEqualTo(3);
     assertThat(orders.count(OTHER.incarnation())).isZero();
 
@@ -68,7 +68,7 @@
 
     orders.reindexGrants(Stream.of(left, right));
     orders.grantTrackers(1).forEach(tracker -> tracker.unanswered(700, 1));
-    orders.grantTrackers(2).forEach(tracker -> tracker.answered(5, 2));
+    orders.grantTrackers(2).forEach(tracker -> tracker.answered(5, 2, true));
 
     assertThat(left.ownerGrants().mayBeInFlight(1_000)).isFalse();
     assertThat(right.ownerGrants().mayBeInFlight(1_000)).isFalse();
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
@@ -29,6 +29,83 @@
     assertThat(fuzz.keysWithoutHolder()).isZero();
   }
 
+  // Guards against two holders when a partition holds up a grant, its sender is killed, and the
+  // grant arrives after the next coordinator has moved the keys (review/1).
+  @Test
+  void releasedKeysAreSafeFromAGrantOfAKilledCoordinatorThatArrivesLate() {
+    for (int millis = 0; millis < 1_000; millis += 50) {
+      KeyedServiceFuzz killed = new KeyedServiceFuzz(UPSTREAMS, 2026120600L + millis);
+      killed.run(5_000);
+      FakeUpstream leaving = killed.process(0);
+      leaving.unreachable = true;
+      killed.run(millis);
+      killed.killCoordinator();
+      killed.run(1_500);
+      leaving.unreachable = false;
+      killed.drain(leaving);
+      killed.run(3_000);
+
+      assertThat(killed.oracle.violations()).as("killed after %s ms", millis).isEmpty();
+      assertThat(killed.keysWithoutHolder()).as("killed after %s ms", millis).isZero();
+    }
+  }
+
+  // Guards against keys without a holder until all grants have expired, where their owner can be
+  // asked to refuse those that are late.
+  @Test
+  void keysMoveAtOnceThoughGrantsWereLeftUnanswered() {
+    fuzz.run(5_000);
+    FakeUpstream leaving = fuzz.process(0);
+    fuzz.unansweredGrants.add(leaving.registration.id());
+    fuzz.run(1_700);
+    fuzz.unansweredGrants.clear();
+    fuzz.startTerm();
+    fuzz.drain(leaving);
+    fuzz.run(1_000);
+
+    assertThat(fuzz.keysWithoutHolder()).isZero();
+    assertThat(fuzz.oracle.violations()).isEmpty();
+  }
+
+  // Guards against two holders when a coordinator ends within a hand-over, and the next one cannot
+  // tell which of its steps were taken.
+  @Test
+  void aHandOverIsContinuedByTheNextCoordinatorAtEachOfItsSteps() {
+    for (int millis = 0; millis < 400; millis += 10) {
+      KeyedServiceFuzz broken = new KeyedServiceFuzz(UPSTREAMS, 2026120600L + millis);
+      broken.run(5_000);
+      FakeUpstream leaving = broken.process(0);
+      broken.unansweredGrants.add(leaving.registration.id());
+      broken.run(750);
+      broken.unansweredGrants.clear();
+      broken.drain(leaving);
+      broken.run(millis);
+      broken.killCoordinator();
+      broken.run(3_000);
+
+      assertThat(broken.oracle.violations()).as("killed after %s ms", millis).isEmpty();
+      assertThat(broken.keysWithoutHolder()).as("killed after %s ms", millis).isZero();
+    }
+  }
+
+  // Guards against a grant to the previous owner when a coordinator of an earlier build, whose
+  // tables
+  // do not tell, may have granted the keys to the next one.
+  @Test
+  void aPreviousOwnerIsNotGrantedKeysThatTheNextOneMayHold() {
+    fuzz.run(5_000);
+    FakeUpstream leaving = fuzz.process(0);
+    fuzz.drain(leaving);
+    fuzz.store.withoutMarks = true;
+    fuzz.run(60);
+    fuzz.killCoordinator();
+    fuzz.run(14_000);
+
+    assertThat(fuzz.oracle.violations()).isEmpty();
+    assertThat(leaving.rangesAcceptedAbove(1)).isEmpty();
+    assertThat(fuzz.keysWithoutHolder()).isZero();
+  }
+
   // Guards against requests that wait for keys which cannot be served before their deadlines.
   @Test
   void callersLearnWhenReleasedKeysWillBeReady() {
@@ -36,7 +113,6 @@
     FakeUpstream leaving = fuzz.process(0);
     fuzz.unansweredGrants.add(leaving.registration.id());
     fuzz.run(1_700);
-    fuzz.unansweredGrants.clear();
     fuzz.drain(leaving);
     fuzz.run(500);
     assertThat(fuzz.service().holder(fuzz.nowMillis, 17)).isEmpty();
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceFuzz.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceFuzz.java
@@ -29,6 +29,10 @@
 final class KeyedServiceFuzz {
   static final ServiceId SERVICE = ServiceId.of("stock-ledger");
   private static final int STEP_MILLIS = 10;
+
+  /** Whether decisions are printed. */
+  private static final boolean TRACE = Boolean.getBoolean("fuzz.trace");
+
   private static final long HOLD_MAX_MILLIS = 10_000;
   private static final long GRANT_TIMEOUT_MILLIS = 700;
   private static final long RELEASE_TIMEOUT_MILLIS = 3_000;
@@ -42,6 +46,9 @@
   /** Maximum pause of the coordinator's process, in milliseconds. */
   private static final int MAX_PAUSE_MILLIS = 1_500;
 
+  /** Maximum time after the end of a partition until what it held up arrives, in milliseconds. */
+  private static final int MAX_RESEND_MILLIS = 2_000;
+
   private static final long FAR_OFF_UNIX_MILLIS = 4_000_000_000_000L;
 
   private static final int[] SAMPLED_KEYS =
@@ -60,6 +67,7 @@
   private long nextTaskId;
   private int starts;
   private long term;
+  private final Set<Long> killedTerms = new HashSet<>();
   private long pausedUntilMillis;
   private KeyedService service;
   long nowMillis;
@@ -70,6 +78,12 @@
   /** Upstreams that carry out grants without an answer. */
   final Set<UpstreamId> unansweredGrants = new HashSet<>();
 
+  /** Upstreams that send an earlier answer once more instead of one to a grant. */
+  final Set<UpstreamId> repeatedAnswers = new HashSet<>();
+
+  /** Fraction of answers to grants that do not tell to which grant they belong. */
+  double anonymousAnswerRate;
+
   /** Probability that the coordinator's process pauses after a decision, per step. */
   double pauseRate;
 
@@ -152,6 +166,16 @@
     service().upstreamsChanged();
   }
 
+  /**
+   * Kills the coordinator and starts a new term: nothing ends the calls of the former one any more,
+   * and a partition that holds their orders up delivers them when it has ended.
+   */
+  void killCoordinator() {
+    oracle.sendersKilled();
+    killedTerms.add(term);
+    startTerm();
+  }
+
   /** Starts a new term; calls of the former one stay open until they end by themselves. */
   void startTerm() {
     term++;
@@ -200,12 +224,17 @@
       if (effect instanceof KeyEffect.ReadTable) {
         store.read(result -> deliver(sentTerm, () -> service.tableRead(nowMillis, result)));
       } else if (effect instanceof KeyEffect.WriteTable write) {
+        write.table().assignments().stream()
+            .filter(assignment -> assignment.previousOwner().isEmpty())
+            .forEach(oracle::assigned);
         store.write(
             write, result -> deliver(sentTerm, () -> service.tableWritten(nowMillis, result)));
       } else if (effect instanceof KeyEffect.Grant grant) {
         grant(sentTerm, grant);
       } else if (effect instanceof KeyEffect.Release release) {
         release(sentTerm, release);
+      } else if (effect instanceof KeyEffect.Note note && TRACE) {
+        System.out.printf("%d term %d %s%n", nowMillis, sentTerm, note);
       }
     }
   }
@@ -221,12 +250,7 @@
         order.address(),
         order.upstream(),
         GRANT_TIMEOUT_MILLIS,
-        upstream -> {
-          OrderResult result = upstream.grant(nowMillis, nowMillis, order);
-          return unansweredGrants.contains(order.upstream())
-              ? Optional.empty()
-              : Optional.of(result);
-        },
+        new FuzzedGrant(this, order, sent),
         result -> {
           oracle.grantEnded(nowMillis, sent, result);
           orderEnded(sentTerm, order.orderId(), result);
@@ -240,7 +264,7 @@
         order.address(),
         order.upstream(),
         RELEASE_TIMEOUT_MILLIS,
-        upstream -> Optional.of(upstream.release(order)),
+        new FuzzedRelease(this, order),
         result -> {
           if (result instanceof OrderResult.Done) {
             oracle.releaseAnswered(sent);
@@ -253,28 +277,59 @@
     deliver(sentTerm, () -> service.orderEnded(nowMillis, orderId, result));
   }
 
-  /** An order that an upstream carries out; the result is empty if it gives no answer. */
-  private interface Order {
-    Optional<OrderResult> execute(FakeUpstream upstream);
-  }
-
   private void call(
       long sentTerm,
       Address address,
       UpstreamId target,
       long timeoutMillis,
-      Order order,
+      FuzzedOrder order,
       Consumer<OrderResult> ended) {
     boolean[] over = {false};
     Consumer<OrderResult> end = result -> endWhenAwake(sentTerm, over, result, ended);
+    FakeUpstream receiver = processes.get(address);
     schedule(
         timeoutMillis + random.nextInt(MAX_RESET_DELAY_MILLIS),
         () -> end.accept(new OrderResult.Unanswered("no answer")));
     schedule(
         delayMillis(),
-        () ->
-            answer(processes.get(address), target, order)
-                .ifPresent(result -> schedule(delayMillis(), () -> end.accept(result))));
+        () -> {
+          if (receiver.unreachable && order.needsConnection()) {
+            order.notReached();
+            schedule(
+                timeoutMillis - STEP_MILLIS,
+                () -> end.accept(new OrderResult.NotSent("connecting timed out")));
+            return;
+          }
+          whenReachable(
+              receiver,
+              over,
+              () ->
+                  answer(processes.get(address), target, order)
+                      .ifPresent(result -> schedule(delayMillis(), () -> end.accept(result))));
+        });
+  }
+
+  /** Delivers an order that a partition holds up, unless its call or its receiver has ended. */
+  private void whenReachable(FakeUpstream receiver, boolean[] over, Runnable deliver) {
+    if (!receiver.unreachable) {
+      deliver.run();
+    } else if (!over[0] && receiver.up) {
+      schedule(
+          STEP_MILLIS,
+          () -> {
+            if (receiver.unreachable) {
+              whenReachable(receiver, over, deliver);
+            } else {
+              schedule(random.nextInt(MAX_RESEND_MILLIS), () -> deliverIfOpen(over, deliver));
+            }
+          });
+    }
+  }
+
+  private static void deliverIfOpen(boolean[] over, Runnable deliver) {
+    if (!over[0]) {
+      deliver.run();
+    }
   }
 
   /**
@@ -282,7 +337,7 @@
    */
   private void endWhenAwake(
       long sentTerm, boolean[] over, OrderResult result, Consumer<OrderResult> ended) {
-    if (over[0]) {
+    if (over[0] || (killedTerms.contains(sentTerm) && result instanceof OrderResult.Unanswered)) {
       return;
     }
     if (sentTerm == term && nowMillis < pausedUntilMillis) {
@@ -293,7 +348,8 @@
     ended.accept(result);
   }
 
-  private Optional<OrderResult> answer(FakeUpstream upstream, UpstreamId target, Order order) {
+  private Optional<OrderResult> answer(
+      FakeUpstream upstream, UpstreamId target, FuzzedOrder order) {
     if (!upstream.up) {
       return random.nextBoolean()
           ? Optional.of(new OrderResult.NotSent("connection refused"))
@@ -305,6 +361,7 @@
     if (!upstream.registration.id().equals(target)) {
       return Optional.of(new OrderResult.Misdirected());
     }
+    order.arrived();
     if (upstream.refusing) {
       return Optional.of(new OrderResult.Refused(503));
     }
@@ -313,8 +370,8 @@
         : order.execute(upstream);
   }
 
-  private Optional<OrderResult> faultyAnswer(FakeUpstream upstream, Order order) {
-    return switch (random.nextInt(8)) {
+  private Optional<OrderResult> faultyAnswer(FakeUpstream upstream, FuzzedOrder order) {
+    return switch (random.nextInt(9)) {
       case 0 -> Optional.of(new OrderResult.Refused(503));
       case 1 -> Optional.of(new OrderResult.NotSent("no connection"));
       case 2 -> {
@@ -326,6 +383,7 @@
         yield Optional.empty();
       }
       case 4 -> Optional.of(new OrderResult.Fenced());
+      case 5 -> order.repeatedAnswer();
       default -> Optional.empty();
     };
   }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceFuzzTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyedServiceFuzzTest.java
@@ -44,6 +44,7 @@
     fuzz.orderFaultRate = 0.1;
     fuzz.store.faultRate = 0.15;
     fuzz.pauseRate = 0.002;
+    fuzz.anonymousAnswerRate = 0.5;
     for (int i = 0; i < 40; i++) {
       injectFault(fuzz, random, upstreams, withNewTerms);
       fuzz.run(random.nextInt(1_500));
@@ -84,7 +85,9 @@
       case 7 -> fuzz.register(process.registration);
       case 8 -> fuzz.store.down = !fuzz.store.down;
       case 9 -> {
-        if (withNewTerms) {
+        if (withNewTerms && random.nextBoolean()) {
+          fuzz.killCoordinator();
+        } else if (withNewTerms) {
           fuzz.startTerm();
         }
       }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/MovePlanTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/MovePlanTest.java
@@ -76,7 +76,7 @@
   @Test
   void keysOfALiveOwnerStayThereUntilUnansweredGrantsHaveExpired() {
     GrantTracker grants = GrantTracker.neverGranted();
-    grants.sent(0, 1, HOLD_MILLIS);
+    grants.sent(0, 1, 1, HOLD_MILLIS);
     grants.unanswered(GrantTracker.CALL_TIMEOUT_MILLIS, 1);
 
     assertThat(moves(grants.unansweredExpiryMillis(), grants)).isEmpty();
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/TableProposalTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/TableProposalTest.java
@@ -35,7 +35,7 @@
     OwnedRange range = OwnedRange.neverHeld(new KeyAssignment(KEYS, owner, Optional.empty()));
     KeyMove move = new KeyMove(KEYS, upstream("i-2"), "owner unfit");
 
-    KeyTable table = TableProposal.withMoves(List.of(range), List.of(move), 2).table();
+    KeyTable table = TableProposal.withMoves(0, List.of(range), List.of(move), 2).table();
 
     assertThat(table.assignments())
         .extracting(KeyAssignment::previousOwner)
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
@@ -88,7 +88,10 @@
     tickUntil(KeyEffect.ReadTable.class);
     coordinator.tableRead(nowMillis, LEDGER, new TableReadResult.Found(Optional.empty(), 0));
     tickUntil(KeyEffect.WriteTable.class);
-    coordinator.tableWritten(nowMillis, LEDGER, new TableWriteResult.Written(1));
+    coordinator.tableWritten(
+        nowMillis,
+        false,
+        new HostEvent.TableWriteEnded(nowMillis, 1, LEDGER, new TableWriteResult.Written(1)));
     KeyEffect.Grant grant = tickUntil(KeyEffect.Grant.class);
     HostMessage.SlotRequest request =
         new HostMessage.SlotRequest(
@@ -97,7 +100,10 @@
 
     List<HostEffect> effects =
         coordinator.orderEnded(
-            nowMillis + 1, LEDGER, grant.orderId(), new OrderResult.Done(Optional.empty()));
+            nowMillis + 1,
+            true,
+            new HostEvent.OrderEnded(
+                nowMillis + 1, 1, LEDGER, grant.orderId(), new OrderResult.Done(Optional.empty())));
 
     assertThat(effects)
         .contains(
--- a/host/src/test/java/dev/hornbeamwheel/host/EndlessStoreAnswerTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/EndlessStoreAnswerTest.java
@@ -114,7 +114,8 @@
             1,
             1_000,
             Optional.empty(),
-            Long.MAX_VALUE));
+            Long.MAX_VALUE,
+            false));
 
     assertUnanswered();
   }
--- a/host/src/test/java/dev/hornbeamwheel/host/KeyOrderAnswerTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/KeyOrderAnswerTest.java
@@ -131,6 +131,17 @@
     assertThat(upstream.requests()).extracting(Request::connection).containsExactly(1, 1, 2);
   }
 
+  // Guards against a grant that is repeated for ever, because its answer never tells that it is its
+  // own.
+  @Test
+  void aGrantThatMustBeVerifiedUsesANewConnection() throws Exception {
+    start(request -> Reply.keep(Request.anonymous(200, "")));
+    grant();
+
+    assertThat(grant(true)).isEqualTo(new OrderResult.Done(Optional.empty(), true));
+    assertThat(upstream.requests()).extracting(Request::connection).containsExactly(1, 2);
+  }
+
   // Guards against holding keys back at an upstream that echoes no ids of orders.
   @Test
   void aRefusalWithoutAnIdCountsOnANewConnection() throws Exception {
@@ -218,6 +229,10 @@
   }
 
   private OrderResult grant() throws InterruptedException {
+    return grant(false);
+  }
+
+  private OrderResult grant(boolean verified) throws InterruptedException {
     return perform(
         new KeyEffect.Grant(
             1,
@@ -227,7 +242,8 @@
             12,
             3_000,
             Optional.empty(),
-            NOW_MILLIS + 250));
+            NOW_MILLIS + 250,
+            verified));
   }
 
   private OrderResult release() throws InterruptedException {
