--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyHandOverTest.java
@@ -50,6 +50,22 @@
     }
   }
 
+  // Guards against two holders when the answer to an earlier grant is taken for the one to a grant
+  // that is carried out after the release (review/3).
+  @Test
+  void releasedKeysAreSafeFromAGrantWhoseAnswerWasARepeatedOne() {
+    fuzz.run(5_000);
+    FakeUpstream leaving = fuzz.process(0);
+    fuzz.repeatedAnswers.add(leaving.registration.id());
+    fuzz.run(800);
+    fuzz.repeatedAnswers.clear();
+    fuzz.drain(leaving);
+    fuzz.run(4_000);
+
+    assertThat(fuzz.oracle.violations()).isEmpty();
+    assertThat(fuzz.keysWithoutHolder()).isZero();
+  }
+
   // Guards against keys without a holder until all grants have expired, where their owner can be
   // asked to refuse those that are late.
   @Test
--- a/host/src/test/java/dev/hornbeamwheel/host/KeyOrderAnswerTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/KeyOrderAnswerTest.java
@@ -131,6 +131,17 @@
     assertThat(upstream.requests()).extracting(Request::connection).containsExactly(1, 1, 2);
   }
 
+  // Guards against a grant that counts as certainly carried out because of a second copy of an
+  // earlier
+  // answer: it is carried out late, when its keys have another owner (review/3).
+  @Test
+  void aSuccessWithoutAnIdDoesNotTellWhichGrantItBelongsToOnAUsedConnection() throws Exception {
+    start(request -> Reply.keep(Request.anonymous(200, "")));
+
+    assertThat(grant()).isEqualTo(new OrderResult.Done(Optional.empty(), true));
+    assertThat(grant()).isEqualTo(new OrderResult.Done(Optional.empty(), false));
+  }
+
   // Guards against a grant that is repeated for ever, because its answer never tells that it is its
   // own.
   @Test
