Don't take a reset connection of a previous owner for a sign of its loss

The grant by which a previous owner is to refuse late grants uses a new one, so moving keys away from a busy owner could shorten the holds of its other keys to 500 ms, and work on them would end with 500.

Cause: each failure of that grant but 409 counted against the upstream.

Why this works: only a grant that was sent and left unanswered counts; one that was not sent extends no expiry either. The renewals of its other keys, on kept connections, tell whether it is lost.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyRecall.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyRecall.java
@@ -62,7 +62,8 @@
       range.orderEnded(nowMillis + KeyedService.ORDER_RETRY_DELAY_MILLIS);
       if (result instanceof OrderResult.Misdirected) {
         range.markMisdirected();
-      } else if (!(result instanceof OrderResult.Fenced)) {
+      } else if (result instanceof OrderResult.Unanswered) {
+        // A refused connection tells little: an upstream with a long queue resets new ones.
         detector.orderFailed(previous.incarnation());
       }
     }
