Leave requests on their way to a previous owner until the next tick

Cause, by reading: since a hand-over takes its steps without waiting for ticks, and so asked the previous owner at once when the move was written. Requests that had just got a slot there were still on their way.

Change: only the steps after which nobody holds the keys are taken at once. The first order to a previous owner waits for the next tick, as before.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/keys/KeyedService.java
@@ -252,7 +252,8 @@
     storePending = false;
     if (result instanceof TableWriteResult.Written written) {
       adoptRanges(written.version(), pendingTable, GrantTracker.neverGranted());
-      handOverDue = true;
+      // Requests that are on their way to previous owners have until the next tick to arrive.
+      handOverDue = ranges.stream().anyMatch(range -> range.phase() == Phase.GRANTING);
     } else if (result instanceof TableWriteResult.Unconfirmed) {
       nextStoreCallMillis = nowMillis + STORE_RETRY_DELAY_MILLIS;
       storePending = true;
