--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalUpstreamSelector.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalUpstreamSelector.java
@@ -54,6 +54,11 @@
     hostCount = Math.max(1, count);
   }
 
+  /** Returns the number of hosts by which the rate of a cold upstream is divided. */
+  int hostCount() {
+    return hostCount;
+  }
+
   void attemptStarted(UpstreamId upstream) {
     runningCounts.merge(upstream, 1, Integer::sum);
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -395,6 +395,9 @@
             request.deadlineMillis - nowMillis,
             request.idempotent(),
             request.decidedByCoordinator));
+    if (upstream.cold(nowMillis)) {
+      effects.add(responses.log().sentCold(nowMillis, request, localSelector.hostCount()));
+    }
   }
 
   private void recordAttemptEnd(long nowMillis, InFlightRequest request, AttemptResult result) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
@@ -73,6 +73,28 @@
             .with("ignored", notice.ignored()));
   }
 
+  /**
+   * Returns the entry of a request that is sent to a cold upstream. Each such request is logged, as
+   * their number is limited over all hosts.
+   *
+   * @param hostCount number of hosts by which this host divides the rate of a cold upstream
+   */
+  RequestEffect sentCold(long nowMillis, InFlightRequest request, int hostCount) {
+    return new RequestEffect.Log(
+        LogEntry.of("cold-send")
+            .with("request", request.head.attemptId())
+            .with("service", request.service.value())
+            .with("key", request.key().orElse(-1))
+            .with("upstream", request.upstream.id().value())
+            .with("started", request.upstream.incarnation().startedUnixMillis())
+            .with("coldMillis", request.upstream.coldUntilMillis() - nowMillis)
+            .with("chosenBy", chosenBy(request))
+            .with("term", coordinatorTerm)
+            .with("coordinatorAgeMillis", coordinatorAgeMillis(nowMillis))
+            .with("slotAgeMillis", nowMillis - request.slotRequestedMillis)
+            .with("hostCount", hostCount));
+  }
+
   /** Returns the entry of a failed attempt at an upstream. */
   RequestEffect attemptFailed(long nowMillis, InFlightRequest request, AttemptResult result) {
     return new RequestEffect.Log(
@@ -92,7 +114,7 @@
         .with("leftMillis", request.deadlineMillis - nowMillis)
         .with("sends", request.sendCount)
         .with("configuration", configurationVersion())
-        .with("chosenBy", request.decidedByCoordinator ? "coordinator" : "host")
+        .with("chosenBy", chosenBy(request))
         .with("term", coordinatorTerm)
         .with("coordinatorAgeMillis", coordinatorAgeMillis(nowMillis));
     if (request.upstream != null) {
@@ -104,6 +126,10 @@
     return entry;
   }
 
+  private static String chosenBy(InFlightRequest request) {
+    return request.decidedByCoordinator ? "coordinator" : "host";
+  }
+
   private long configurationVersion() {
     return catalog.configuration().map(FleetConfiguration::version).orElse(0L);
   }
