--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/HostSimulation.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/HostSimulation.java
@@ -33,12 +33,17 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 import java.util.stream.Stream;
 
 /** Simulates entry hosts, their connections and the lease row in the store, in virtual time. */
 final class HostSimulation {
-  private static final int STEP_MILLIS = 25;
+  /** Interval between ticks, in milliseconds. */
+  static final int STEP_MILLIS = 25;
+
+  private static final DataCentreId DEFAULT_DATA_CENTRE = DataCentreId.of("vannes");
   private static final int POLL_MILLIS = 500;
   private static final long CONNECT_TIMEOUT_MILLIS = 400;
   private static final long MESSAGE_DELAY_MILLIS = 3;
@@ -52,10 +57,13 @@
   final class Host {
     private final int index;
     private final HostCapacity capacity;
+    private final DataCentreId dataCentre;
     private final HostNode node;
     private final Map<LinkId, Link> hostLinks = new HashMap<>();
     private Optional<Link> coordinatorLink = Optional.empty();
+    private final List<LongFunction<HostEvent>> heldUpEvents = new ArrayList<>();
     private boolean crashed;
+    private boolean frozen;
 
     private final Map<CatalogTable, TableSource> sources = new EnumMap<>(CatalogTable.class);
 
@@ -65,26 +73,49 @@
     /** The effects of requests at this host. */
     final List<RequestEffect> requestEffects = new ArrayList<>();
 
-    private Host(int index, HostCapacity capacity, long seed) {
+    private Host(int index, HostCapacity capacity, DataCentreId dataCentre, long seed) {
       this.index = index;
       this.capacity = capacity;
+      this.dataCentre = dataCentre;
       this.node =
           HostNode.create(
               new HostIdentity(
                   HostId.of("host-" + index),
-                  DataCentreId.of("vannes"),
+                  dataCentre,
                   address(index),
                   capacity,
                   10_000,
                   seed + index));
     }
 
-    private void reduce(HostEvent event) {
-      if (!crashed) {
-        node.reduce(event).forEach(effect -> perform(this, effect));
+    /** Handles an event, which is created with the time at which the host handles it. */
+    private void reduce(LongFunction<HostEvent> event) {
+      if (frozen) {
+        heldUpEvents.add(event);
+      } else if (!crashed) {
+        node.reduce(event.apply(nowMillis)).forEach(effect -> perform(this, effect));
       }
     }
 
+    private void tick() {
+      if (!frozen) {
+        reduce(HostEvent.Tick::new);
+      }
+    }
+
+    /** Suspends the process; what reaches it meanwhile waits. */
+    void freeze() {
+      frozen = true;
+    }
+
+    /** Continues the suspended process, which first handles all that waits. */
+    void thaw() {
+      frozen = false;
+      List<LongFunction<HostEvent>> waiting = List.copyOf(heldUpEvents);
+      heldUpEvents.clear();
+      waiting.forEach(this::reduce);
+    }
+
     /** Returns whether the host relies on the coordinator for changes of all tables. */
     boolean followsCoordinator() {
       return sources.size() == CatalogTable.values().length
@@ -98,22 +129,22 @@
 
     /** Reports that the host has read changes from the store. */
     void readFromStore(TableChanges changes) {
-      reduce(new HostEvent.TableChangesRead(nowMillis, changes));
+      reduce(now -> new HostEvent.TableChangesRead(now, changes));
     }
 
     /** Reports the arrival of a request. */
     void requestArrives(RequestRef ref, RequestHead head) {
-      reduce(new HostEvent.RequestArrived(nowMillis, ref, head));
+      reduce(now -> new HostEvent.RequestArrived(now, ref, head));
     }
 
     /** Reports the end of an attempt for a request. */
     void attemptEnds(RequestRef ref, AttemptResult result) {
-      reduce(new HostEvent.AttemptEnded(nowMillis, ref, result));
+      reduce(now -> new HostEvent.AttemptEnded(now, ref, result));
     }
 
     /** Reports an operator's decision to allow a request again. */
     void quarantineLifted(long fingerprint) {
-      reduce(new HostEvent.QuarantineLifted(nowMillis, fingerprint));
+      reduce(now -> new HostEvent.QuarantineLifted(now, fingerprint));
     }
 
     boolean isCoordinator() {
@@ -145,6 +176,12 @@
   /** What hosts learn when they check whether an upstream runs. */
   Function<UpstreamIncarnation, CheckResult> checks = upstream -> CheckResult.REFUSED;
 
+  /** Learns of each effect of a request when it occurs. */
+  BiConsumer<Host, RequestEffect> onRequestEffect = (host, effect) -> {};
+
+  /** Whether the store responds to reads and writes of the lease. */
+  boolean storeAvailable = true;
+
   /** Number of times that a host logged that it won the lease. */
   int leaseWins;
 
@@ -166,13 +203,22 @@
   /** Removes the registration of an upstream. */
   void removeUpstream(UpstreamId id) {
     upstreams = upstreams.stream().filter(upstream -> !upstream.id().equals(id)).toList();
-    hosts.forEach(host -> host.reduce(new HostEvent.UpstreamRemoved(nowMillis, id)));
+    hosts.forEach(host -> host.reduce(now -> new HostEvent.UpstreamRemoved(now, id)));
   }
 
   /** Adds the registration of an upstream. */
   void addUpstream(UpstreamRegistration upstream) {
     upstreams = Stream.concat(upstreams.stream(), Stream.of(upstream)).toList();
-    hosts.forEach(host -> host.reduce(new HostEvent.UpstreamChanged(nowMillis, upstream)));
+    hosts.forEach(host -> host.reduce(now -> new HostEvent.UpstreamChanged(now, upstream)));
+  }
+
+  /** Changes the registration of an upstream. */
+  void changeUpstream(UpstreamRegistration changed) {
+    upstreams =
+        upstreams.stream()
+            .map(upstream -> upstream.id().equals(changed.id()) ? changed : upstream)
+            .toList();
+    hosts.forEach(host -> host.reduce(now -> new HostEvent.UpstreamChanged(now, changed)));
   }
 
   /** Returns the current time, in milliseconds. */
@@ -187,11 +233,26 @@
 
   /** Starts a host with a capacity in points. */
   Host startHost(int capacity) {
-    Host host = new Host(hosts.size() + 1, new HostCapacity(capacity), seed);
+    return startHost(capacity, DEFAULT_DATA_CENTRE);
+  }
+
+  /** Starts a host with a capacity in points in a data centre. */
+  Host startHost(int capacity, DataCentreId dataCentre) {
+    return start(new Host(hosts.size() + 1, new HostCapacity(capacity), dataCentre, seed));
+  }
+
+  /** Ends the process of a host without notice, and starts another in its place. */
+  Host restart(Host ended) {
+    crash(ended);
+    hosts.remove(ended);
+    return start(new Host(ended.index, ended.capacity, ended.dataCentre, random.nextLong()));
+  }
+
+  private Host start(Host host) {
     hosts.add(host);
-    host.reduce(new HostEvent.ConfigurationRead(nowMillis, configuration));
-    host.reduce(new HostEvent.UpstreamsRead(nowMillis, upstreams));
-    host.reduce(new HostEvent.EvacuationsRead(nowMillis, Set.of()));
+    host.reduce(now -> new HostEvent.ConfigurationRead(now, configuration));
+    host.reduce(now -> new HostEvent.UpstreamsRead(now, upstreams));
+    host.reduce(now -> new HostEvent.EvacuationsRead(now, Set.of()));
     return host;
   }
 
@@ -200,7 +261,7 @@
       while (!tasks.isEmpty() && tasks.peek().atMillis() <= nowMillis) {
         tasks.poll().run().run();
       }
-      List.copyOf(hosts).forEach(host -> host.reduce(new HostEvent.Tick(nowMillis)));
+      List.copyOf(hosts).forEach(Host::tick);
       if (nowMillis % POLL_MILLIS == 0) {
         hosts.stream().filter(Host::isCoordinator).forEach(this::confirmTables);
       }
@@ -252,6 +313,11 @@
     return hosts.stream().filter(Host::isCoordinator).findFirst().orElseThrow();
   }
 
+  /** Returns the hosts that take themselves for the coordinator. */
+  List<Host> coordinators() {
+    return hosts.stream().filter(Host::isCoordinator).toList();
+  }
+
   int coordinatorCapacity() {
     return coordinatingHost().capacity.millicores();
   }
@@ -294,8 +360,9 @@
                     if (link.to().hostLinks.containsValue(link)) {
                       link.to()
                           .reduce(
-                              new HostEvent.HostMessageReceived(
-                                  nowMillis, link.id(), send.message()));
+                              now ->
+                                  new HostEvent.HostMessageReceived(
+                                      now, link.id(), send.message()));
                     }
                   }));
     } else if (effect instanceof HostEffect.SendToHost send) {
@@ -315,13 +382,15 @@
 
   private void performRequest(Host host, RequestEffect effect) {
     host.requestEffects.add(effect);
+    onRequestEffect.accept(host, effect);
     if (effect instanceof RequestEffect.CheckUpstream check) {
       schedule(
           MESSAGE_DELAY_MILLIS,
           () ->
               host.reduce(
-                  new HostEvent.UpstreamChecked(
-                      nowMillis, check.upstream(), checks.apply(check.upstream()))));
+                  now ->
+                      new HostEvent.UpstreamChecked(
+                          now, check.upstream(), checks.apply(check.upstream()))));
     }
   }
 
@@ -333,7 +402,7 @@
             if (link.from().coordinatorLink.filter(link::equals).isPresent()) {
               link.from()
                   .reduce(
-                      new HostEvent.CoordinatorMessageReceived(nowMillis, link.term(), message));
+                      now -> new HostEvent.CoordinatorMessageReceived(now, link.term(), message));
             }
           });
     }
@@ -357,7 +426,7 @@
             close(link);
           } else {
             to.hostLinks.put(link.id(), link);
-            from.reduce(new HostEvent.CoordinatorConnected(nowMillis, link.term()));
+            from.reduce(now -> new HostEvent.CoordinatorConnected(now, link.term()));
           }
         });
   }
@@ -367,35 +436,38 @@
       link.from().coordinatorLink = Optional.empty();
       schedule(
           MESSAGE_DELAY_MILLIS,
-          () -> link.from().reduce(new HostEvent.CoordinatorDisconnected(nowMillis, link.term())));
+          () -> link.from().reduce(now -> new HostEvent.CoordinatorDisconnected(now, link.term())));
     }
     if (link.to().hostLinks.remove(link.id()) != null) {
       schedule(
           MESSAGE_DELAY_MILLIS,
-          () -> link.to().reduce(new HostEvent.HostDisconnected(nowMillis, link.id())));
+          () -> link.to().reduce(now -> new HostEvent.HostDisconnected(now, link.id())));
     }
   }
 
   private void performLease(Host host, LeaseEffect effect) {
-    boolean rejected = !strongHostsMayWrite && host.capacity.millicores() >= 1_000;
+    boolean strong = host.capacity.millicores() >= 1_000;
     if (effect instanceof LeaseEffect.Read) {
       schedule(
           storeDelayMillis(),
           () -> {
             Optional<LeaseRead> read =
-                Optional.of(new LeaseRead(leaseRow, leaseVersion, nowMillis));
+                storeAvailable
+                    ? Optional.of(new LeaseRead(leaseRow, leaseVersion, nowMillis))
+                    : Optional.empty();
             schedule(
                 storeDelayMillis(),
-                () -> host.reduce(new HostEvent.LeaseReadEnded(nowMillis, read)));
+                () -> host.reduce(now -> new HostEvent.LeaseReadEnded(now, read)));
           });
     } else if (effect instanceof LeaseEffect.Write write) {
       schedule(
           storeDelayMillis(),
           () -> {
+            boolean rejected = !storeAvailable || (strong && !strongHostsMayWrite);
             LeaseWrite result = rejected ? new LeaseWrite.NotApplied() : apply(write);
             schedule(
                 storeDelayMillis(),
-                () -> host.reduce(new HostEvent.LeaseWriteEnded(nowMillis, result)));
+                () -> host.reduce(now -> new HostEvent.LeaseWriteEnded(now, result)));
           });
     }
   }
