--- a/core/src/main/java/dev/hornbeamwheel/core/host/catalog/Catalog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/catalog/Catalog.java
@@ -68,6 +68,17 @@
     return Optional.ofNullable(configuration);
   }
 
+  /**
+   * Returns the requests per second that a cold upstream of a service can serve; zero if they are
+   * unlimited or the service is not declared.
+   */
+  public double coldRequestsPerSecond(ServiceId service) {
+    return configuration()
+        .flatMap(declared -> declared.service(service))
+        .map(ServiceSpec::coldRequestsPerSecond)
+        .orElse(0.0);
+  }
+
   /** Returns whether the configuration and the upstreams have been read. */
   public boolean loaded() {
     return configuration != null && upstreamsLoaded;
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/ConnectedHosts.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/ConnectedHosts.java
@@ -3,6 +3,7 @@
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.slots.LinkId;
 import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.HostId;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -16,12 +17,13 @@
    */
   static final long STABLE_CONNECTION_MILLIS = 3_000;
 
-  private record Host(DataCentreId dataCentre, HostCapacity capacity, long connectedMillis) {}
+  private record Host(
+      HostId id, DataCentreId dataCentre, HostCapacity capacity, long connectedMillis) {}
 
   private final Map<LinkId, Host> hosts = new LinkedHashMap<>();
 
   void add(long nowMillis, LinkId link, HostMessage.Hello hello) {
-    hosts.put(link, new Host(hello.dataCentre(), hello.capacity(), nowMillis));
+    hosts.put(link, new Host(hello.host(), hello.dataCentre(), hello.capacity(), nowMillis));
   }
 
   void remove(LinkId link) {
@@ -36,10 +38,20 @@
     return hosts.size();
   }
 
+  /** Returns the number of hosts of a data centre. */
+  int size(DataCentreId dataCentre) {
+    return (int)
+        hosts.values().stream().filter(host -> host.dataCentre().equals(dataCentre)).count();
+  }
+
   Optional<DataCentreId> dataCentre(LinkId link) {
     return Optional.ofNullable(hosts.get(link)).map(Host::dataCentre);
   }
 
+  Optional<HostId> host(LinkId link) {
+    return Optional.ofNullable(hosts.get(link)).map(Host::id);
+  }
+
   /** Returns the greatest capacity among all connected hosts, or unknown if there is none. */
   HostCapacity bestCapacity() {
     return bestCapacityConnectedBefore(Long.MAX_VALUE);
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -4,6 +4,9 @@
 import dev.hornbeamwheel.core.host.catalog.FleetConfiguration;
 import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
+import dev.hornbeamwheel.core.host.cold.ColdLease;
+import dev.hornbeamwheel.core.host.cold.ColdLeaseRequest;
+import dev.hornbeamwheel.core.host.cold.ColdLeases;
 import dev.hornbeamwheel.core.host.keys.KeyDemand;
 import dev.hornbeamwheel.core.host.keys.KeyEffect;
 import dev.hornbeamwheel.core.host.keys.KeyedService;
@@ -15,6 +18,8 @@
 import dev.hornbeamwheel.core.host.slots.SlotEffect;
 import dev.hornbeamwheel.core.host.slots.SlotRequest;
 import dev.hornbeamwheel.core.host.slots.SlotRequestId;
+import dev.hornbeamwheel.core.model.DataCentreId;
+import dev.hornbeamwheel.core.model.HostId;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.ArrayList;
@@ -24,6 +29,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.LongPredicate;
 
 /** Grants slots to all hosts and assigns owners to all keys during one term of the coordinator. */
 final class Coordinator {
@@ -40,7 +46,9 @@
   private final HostIdentity self;
   private final Catalog catalog;
   private final KnowledgeExchange knowledge;
+  private final LongPredicate holdsLease;
   private final SlotBroker broker;
+  private final ColdLeases coldLeases;
   private final ConnectedHosts connectedHosts = new ConnectedHosts();
   private final Map<ServiceId, KeyedService> keyedServices = new HashMap<>();
   private final Map<ServiceId, KeyDemand> keyDemands = new HashMap<>();
@@ -59,9 +67,22 @@
   private long nowMillis;
   private boolean storeDoubtfulAtLastTick;
 
+  /**
+   * Creates the coordinator of a term that starts now.
+   *
+   * @param holdsLease whether this process certainly holds the coordinator's lease at a time, in
+   *     milliseconds
+   */
   Coordinator(
-      long nowMillis, long term, HostIdentity self, Catalog catalog, KnowledgeExchange knowledge) {
+      long nowMillis,
+      long term,
+      HostIdentity self,
+      Catalog catalog,
+      KnowledgeExchange knowledge,
+      LongPredicate holdsLease) {
     this.term = term;
+    this.holdsLease = holdsLease;
+    this.coldLeases = ColdLeases.startTerm(nowMillis);
     this.knowledge = knowledge;
     this.self = self;
     this.catalog = catalog;
@@ -103,6 +124,7 @@
       }
     } else if (message instanceof HostMessage.SlotRequest request) {
       slotRequests++;
+      request.coldLeaseRequest().ifPresent(asked -> renewColdLease(now, link, request, asked));
       sendSlotEffects(broker.requestSlot(now, toBrokerRequest(now, link, request)));
     } else if (message instanceof HostMessage.Cancel cancel) {
       sendSlotEffects(broker.cancel(now, new SlotRequestId(link, cancel.requestNumber())));
@@ -286,6 +308,20 @@
             });
   }
 
+  /** Renews the lease of a host on cold upstreams, which it needs if this coordinator is lost. */
+  private void renewColdLease(
+      long now, LinkId link, HostMessage.SlotRequest request, ColdLeaseRequest asked) {
+    Optional<HostId> host = connectedHosts.host(link);
+    if (host.isEmpty() || !holdsLease.test(now)) {
+      return;
+    }
+    DataCentreId dataCentre = connectedHosts.dataCentre(link).orElseThrow();
+    Set<Integer> partitions =
+        coldLeases.renew(now, dataCentre, host.get(), asked, connectedHosts.size(dataCentre));
+    sendToHost(
+        link, heartbeat(true, Optional.of(new ColdLease(request.requestNumber(), partitions))));
+  }
+
   /** Converts the request of a host, and counts it in the demand for its key. */
   private SlotRequest toBrokerRequest(long now, LinkId link, HostMessage.SlotRequest request) {
     request
@@ -360,13 +396,18 @@
   }
 
   private HostMessage heartbeat(boolean leaseHeld) {
+    return heartbeat(leaseHeld, Optional.empty());
+  }
+
+  private HostMessage heartbeat(boolean leaseHeld, Optional<ColdLease> coldLease) {
     return new HostMessage.Heartbeat(
         term,
         leaseHeld && !handedOver,
         connectedHosts.size(),
         connectedHosts.bestCapacity(),
         handedOver,
-        tablePublisher.confirmations(nowMillis));
+        tablePublisher.confirmations(nowMillis),
+        coldLease);
   }
 
   private void sendToHost(LinkId link, HostMessage message) {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -3,6 +3,8 @@
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
 import dev.hornbeamwheel.core.host.catalog.TableConfirmation;
 import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
+import dev.hornbeamwheel.core.host.cold.ColdLease;
+import dev.hornbeamwheel.core.host.cold.ColdLeaseRequest;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.DataCentreId;
@@ -12,6 +14,7 @@
 import dev.hornbeamwheel.core.recovery.Evidence;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 
@@ -39,6 +42,7 @@
    * @param targetMillis time until the latency target, in milliseconds; zero if it has passed
    * @param suspect whether an upstream ended, or may have ended, while it ran the same request
    * @param excludedUpstreams upstreams that the host cannot use now
+   * @param coldLeaseRequest asks for a lease on cold upstreams, too
    */
   record SlotRequest(
       long requestNumber,
@@ -49,7 +53,8 @@
       long targetMillis,
       boolean largeResponse,
       boolean suspect,
-      Set<UpstreamId> excludedUpstreams)
+      Set<UpstreamId> excludedUpstreams,
+      Optional<ColdLeaseRequest> coldLeaseRequest)
       implements HostMessage {
     @Override
     public String kindName() {
@@ -86,6 +91,7 @@
    * @param bestCapacity greatest capacity among them
    * @param handingOver whether the coordinator gave up the lease for a host of about that capacity
    * @param confirmations what the coordinator knows of the store's tables
+   * @param coldLease lease on cold upstreams that this host has asked for
    */
   record Heartbeat(
       long term,
@@ -93,7 +99,8 @@
       int connectedHosts,
       HostCapacity bestCapacity,
       boolean handingOver,
-      List<TableConfirmation> confirmations)
+      List<TableConfirmation> confirmations,
+      Optional<ColdLease> coldLease)
       implements HostMessage {}
 
   /** Grants a slot at an upstream; {@code fencingToken} is zero without a key. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -35,14 +35,6 @@
   /** Link on which the coordinator's own host is connected to it. */
   static final LinkId LOCAL_LINK = new LinkId(0);
 
-  /** Silence of the coordinator after which a host claims the lease, in milliseconds. */
-  static final long COORDINATOR_TIMEOUT_MILLIS = 800;
-
-  /**
-   * Extra time for a coordinator whose heartbeats report that it lost the lease, in milliseconds.
-   */
-  static final long LEASE_LOSS_GRACE_MILLIS = 200;
-
   /** Time for which a clearly weaker host leaves an expired lease to others, in milliseconds. */
   static final long WEAK_HOST_DELAY_MILLIS = 600;
 
@@ -70,8 +62,7 @@
   private boolean connected;
   private boolean connecting;
   private long reconnectAtMillis;
-  private long lastMessageMillis;
-  private long lastLeaseHeldMillis;
+  private final CoordinatorSilence silence = new CoordinatorSilence();
   private final CoordinatorWatch coordinatorWatch;
   private HostCapacity bestCapacity = HostCapacity.unknown();
   private boolean handingOver;
@@ -166,7 +157,8 @@
   private void updateCoordinatorWatch(long now) {
     boolean remote = connected && coordinator.isEmpty();
     pendingEffects.addAll(
-        coordinatorWatch.update(now, coordinator.isPresent(), remote, lastLeaseHeldMillis));
+        coordinatorWatch.update(
+            now, coordinator.isPresent(), remote, silence.lastLeaseHeldMillis()));
   }
 
   private void applyControlEvent(long now, HostEvent event) {
@@ -239,12 +231,9 @@
   }
 
   private void watchCoordinator(long now) {
-    boolean silent = now - lastMessageMillis > COORDINATOR_TIMEOUT_MILLIS;
-    boolean leaseLost =
-        now - lastLeaseHeldMillis > COORDINATOR_TIMEOUT_MILLIS + LEASE_LOSS_GRACE_MILLIS;
     boolean strong = !self.capacity().isUnknown() && !self.capacity().isMuchLowerThan(bestCapacity);
     boolean offeredLease = handingOver && (strong || coordinator.isPresent());
-    if (knownLease.isEmpty() || !connected || silent || leaseLost || offeredLease) {
+    if (knownLease.isEmpty() || !connected || silence.tooLong(now) || offeredLease) {
       performLease(now, lease.acquire(now, leaseClaimDelayMillis()));
     } else {
       lease.cancelAcquire();
@@ -293,8 +282,7 @@
     resign(now);
     disconnect(now);
     handingOver = false;
-    lastMessageMillis = now;
-    lastLeaseHeldMillis = now;
+    silence.restarted(now);
     reconnectAtMillis = now;
   }
 
@@ -333,8 +321,7 @@
   private void joinCoordinator(long now) {
     coordinatorWatch.connectionEnded();
     connected = true;
-    lastMessageMillis = now;
-    lastLeaseHeldMillis = now;
+    silence.restarted(now);
     handingOver = false;
     sendToCoordinator(now, new HostMessage.Hello(self.host(), self.dataCentre(), self.capacity()));
     if (coordinator.isEmpty()) {
@@ -358,7 +345,7 @@
   }
 
   private void receiveFromCoordinator(long now, HostMessage message) {
-    lastMessageMillis = now;
+    silence.messageReceived(now);
     if (message instanceof HostMessage.SlotGrant grant) {
       performRequests(
           now,
@@ -371,7 +358,7 @@
               now, refusal.requestNumber(), refusal.retryAfterMillis(), refusal.reason()));
     } else if (message instanceof HostMessage.Heartbeat heartbeat) {
       if (heartbeat.leaseHeld()) {
-        lastLeaseHeldMillis = now;
+        silence.leaseReported(now);
       }
       if (coordinator.isEmpty()) {
         pendingEffects.addAll(coordinatorWatch.confirmed(now, heartbeat.confirmations()));
@@ -381,12 +368,14 @@
       if (handingOver) {
         handoverAtMillis = now + HANDOVER_COOLDOWN_MILLIS;
       }
-      requestFlow.heartbeatReceived(now, heartbeat.term(), heartbeat.connectedHosts());
+      requestFlow.heartbeatReceived(now, heartbeat.term());
+      heartbeat.coldLease().ifPresent(cold -> requestFlow.coldAllowance().granted(now, cold));
     } else if (message instanceof HostMessage.KeyMap map) {
-      requestFlow.replaceOwners(map.service(), map.ownersByFirstKey());
+      requestFlow.owners(map.service()).replaceAll(map.ownersByFirstKey());
     } else if (message instanceof HostMessage.KeyMapChange change) {
-      requestFlow.updateOwners(
-          change.service(), change.changedOwnersByFirstKey(), change.mergedFirstKeys());
+      requestFlow
+          .owners(change.service())
+          .update(change.changedOwnersByFirstKey(), change.mergedFirstKeys());
     } else if (message instanceof HostMessage.CrashEvidence crashes) {
       performRequests(now, requestFlow.evidenceReceived(now, crashes.evidence()));
     } else if (message instanceof HostMessage.CatalogChange change) {
@@ -425,7 +414,8 @@
     disconnect(now);
     resign(now);
     knownLease = Optional.of(new LeaseRow(term, self.host(), self.address(), 0, bestCapacity));
-    coordinator = Optional.of(new Coordinator(now, term, self, catalog, knowledge));
+    coordinator =
+        Optional.of(new Coordinator(now, term, self, catalog, knowledge, lease::isLeader));
     joinCoordinator(now);
     Coordinator started = coordinator.get();
     pendingHellos.forEach((link, hello) -> dispatch(now, started.receive(now, link, hello)));
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/SlotMessages.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/SlotMessages.java
@@ -20,7 +20,8 @@
               request.targetRemainingMillis(),
               request.largeResponse(),
               request.suspect(),
-              request.excludedUpstreams()));
+              request.excludedUpstreams(),
+              request.coldLeaseRequest()));
     }
     if (effect instanceof RequestEffect.CancelSlotRequest cancel) {
       return Optional.of(new HostMessage.Cancel(cancel.slotRequestNumber()));
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalUpstreamSelector.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalUpstreamSelector.java
@@ -1,8 +1,8 @@
 package dev.hornbeamwheel.core.host.request;
 
 import dev.hornbeamwheel.core.host.catalog.Catalog;
-import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
+import dev.hornbeamwheel.core.host.cold.ColdAllowance;
 import dev.hornbeamwheel.core.host.keys.KeyOwnerCache;
 import dev.hornbeamwheel.core.model.DataCentreId;
 import dev.hornbeamwheel.core.model.ServiceId;
@@ -35,14 +35,19 @@
   private final Random random;
   private final Map<UpstreamId, Integer> runningCounts = new HashMap<>();
   private final Map<UpstreamId, Long> unreachableUntil = new HashMap<>();
-  private final Map<UpstreamId, Long> lastColdSendMillis = new HashMap<>();
   private final Map<ServiceId, KeyOwnerCache> owners = new HashMap<>();
-  private int hostCount = 1;
+  private final ColdAllowance coldAllowance;
 
   LocalUpstreamSelector(Catalog catalog, DataCentreId localDataCentre, Random random) {
     this.catalog = catalog;
     this.localDataCentre = localDataCentre;
     this.random = random;
+    this.coldAllowance = ColdAllowance.create(localDataCentre);
+  }
+
+  /** Returns what this host may send to cold upstreams, as a mutable object. */
+  ColdAllowance coldAllowance() {
+    return coldAllowance;
   }
 
   /** Returns the known key owners of a service, as a mutable object. */
@@ -50,15 +55,6 @@
     return owners.computeIfAbsent(service, id -> KeyOwnerCache.empty());
   }
 
-  void updateHostCount(int count) {
-    hostCount = Math.max(1, count);
-  }
-
-  /** Returns the number of hosts by which the rate of a cold upstream is divided. */
-  int hostCount() {
-    return hostCount;
-  }
-
   void attemptStarted(UpstreamId upstream) {
     runningCounts.merge(upstream, 1, Integer::sum);
   }
@@ -91,7 +87,8 @@
       long nowMillis, ServiceId service, OptionalInt key, Set<UpstreamId> excludedUpstreams) {
     if (key.isPresent()) {
       return usableOwner(service, key.getAsInt())
-          .filter(entry -> reachable(nowMillis, entry.id()) && canAccept(nowMillis, entry));
+          .filter(entry -> reachable(nowMillis, entry.id()) && canAccept(nowMillis, entry))
+          .map(entry -> recordColdSend(nowMillis, entry));
     }
     List<UpstreamRegistration> candidates =
         catalog.usable(service).stream()
@@ -123,8 +120,8 @@
   }
 
   /**
-   * Returns whether an upstream can accept a request of this host. A cold upstream can accept this
-   * host's share of its cold rate, which is divided evenly between the hosts.
+   * Returns whether an upstream can accept a request of this host; a cold one only within the
+   * allowance of this host.
    */
   private boolean canAccept(long nowMillis, UpstreamRegistration entry) {
     if (runningCounts.getOrDefault(entry.id(), 0) >= entry.slots()) {
@@ -133,19 +130,14 @@
     if (!entry.cold(nowMillis)) {
       return true;
     }
-    double coldPerSecond =
-        catalog
-            .configuration()
-            .flatMap(configuration -> configuration.service(entry.service()))
-            .map(ServiceSpec::coldRequestsPerSecond)
-            .orElse(0.0);
-    long lastSendMillis = lastColdSendMillis.getOrDefault(entry.id(), Long.MIN_VALUE / 2);
-    return coldPerSecond <= 0 || nowMillis - lastSendMillis > hostCount * 1_000 / coldPerSecond;
+    double coldPerSecond = catalog.coldRequestsPerSecond(entry.service());
+    return coldPerSecond <= 0 || coldAllowance.canSend(nowMillis, entry, coldPerSecond);
   }
 
   private UpstreamRegistration recordColdSend(long nowMillis, UpstreamRegistration entry) {
-    if (entry.cold(nowMillis)) {
-      lastColdSendMillis.put(entry.id(), nowMillis);
+    double coldPerSecond = catalog.coldRequestsPerSecond(entry.service());
+    if (entry.cold(nowMillis) && coldPerSecond > 0) {
+      coldAllowance.recordSend(nowMillis, entry, coldPerSecond);
     }
     return entry;
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestEffect.java
@@ -3,11 +3,13 @@
 import dev.hornbeamwheel.core.host.catalog.Address;
 import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
+import dev.hornbeamwheel.core.host.cold.ColdLeaseRequest;
 import dev.hornbeamwheel.core.host.log.LogEntry;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import dev.hornbeamwheel.core.recovery.Evidence;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 
@@ -56,6 +58,7 @@
    * @param largeResponse whether the response is expected to be large
    * @param suspect whether an upstream ended, or may have ended, while it ran the same request
    * @param excludedUpstreams upstreams that this host cannot use now
+   * @param coldLeaseRequest asks for a lease on cold upstreams, too
    */
   record RequestSlot(
       long slotRequestNumber,
@@ -66,7 +69,8 @@
       long targetRemainingMillis,
       boolean largeResponse,
       boolean suspect,
-      Set<UpstreamId> excludedUpstreams)
+      Set<UpstreamId> excludedUpstreams,
+      Optional<ColdLeaseRequest> coldLeaseRequest)
       implements RequestEffect {}
 
   /** Cancels a slot request at the coordinator. */
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -1,9 +1,10 @@
 package dev.hornbeamwheel.core.host.request;
 
 import dev.hornbeamwheel.core.host.catalog.Catalog;
-import dev.hornbeamwheel.core.host.catalog.RequestKind;
 import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
+import dev.hornbeamwheel.core.host.cold.ColdAllowance;
+import dev.hornbeamwheel.core.host.keys.KeyOwnerCache;
 import dev.hornbeamwheel.core.host.request.InFlightRequest.State;
 import dev.hornbeamwheel.core.host.slots.Completion;
 import dev.hornbeamwheel.core.model.DataCentreId;
@@ -12,7 +13,6 @@
 import dev.hornbeamwheel.core.recovery.Evidence;
 import dev.hornbeamwheel.core.recovery.Quarantine;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -40,9 +40,8 @@
   private final CoordinatorContact coordinator = new CoordinatorContact();
   private final FinalResponses responses;
   private final Map<RequestRef, InFlightRequest> inFlight;
-  private final Map<Long, InFlightRequest> awaitingSlot = new HashMap<>();
+  private final SlotRequests slotRequests;
   private final List<RequestEffect> effects = new ArrayList<>();
-  private long nextSlotRequestNumber = 1;
 
   private RequestFlow(
       Catalog catalog, Quarantine quarantine, DataCentreId localDataCentre, long seed) {
@@ -50,6 +49,7 @@
     this.catalog = catalog;
     this.crashGuard = new CrashGuard(catalog, quarantine);
     this.localSelector = new LocalUpstreamSelector(catalog, localDataCentre, random);
+    this.slotRequests = new SlotRequests(localSelector.coldAllowance(), effects);
     this.responses = new FinalResponses(catalog, effects);
     this.inFlight = responses.inFlight();
     this.notices = new UpstreamNotices(catalog, localSelector, responses.log());
@@ -109,7 +109,7 @@
     }
     request.callerDisconnected = true;
     if (request.state == State.AWAITING_SLOT) {
-      cancelSlotRequest(request);
+      slotRequests.cancel(request);
       responses.finish(nowMillis, request, "caller disconnected while waiting for a slot");
     } else if (request.idempotent()) {
       effects.add(new RequestEffect.Abort(ref));
@@ -122,42 +122,24 @@
   /** Handles a slot that the coordinator granted; a slot that is not needed is released. */
   public List<RequestEffect> slotGranted(
       long nowMillis, long slotRequestNumber, UpstreamId upstream, long fencingToken) {
-    InFlightRequest request = awaitingSlot.remove(slotRequestNumber);
-    if (request == null
-        || request.state != State.AWAITING_SLOT
-        || request.slotRequestNumber != slotRequestNumber) {
-      effects.add(RequestEffect.ReleaseSlot.unused(slotRequestNumber, upstream));
-      return drainEffects();
-    }
-    Optional<UpstreamRegistration> entry = catalog.upstream(upstream).filter(catalog::usable);
-    if (entry.isEmpty()) {
-      effects.add(RequestEffect.ReleaseSlot.unused(slotRequestNumber, upstream));
-      request.excludedUpstreams.add(upstream);
-      retryNotRun(nowMillis, request, true);
-      return drainEffects();
-    }
-    request.decidedByCoordinator = true;
-    long closedMillis = notices.closures().closedMillis(nowMillis, entry.get());
-    if (closedMillis > 0) {
-      effects.add(RequestEffect.ReleaseSlot.unused(slotRequestNumber, upstream));
-      turnAway(nowMillis, request, closedMillis);
-      return drainEffects();
-    }
-    request.fencingToken = fencingToken;
-    send(nowMillis, request, entry.get());
+    slotRequests
+        .answered(slotRequestNumber)
+        .ifPresentOrElse(
+            request -> useSlot(nowMillis, request, upstream, fencingToken),
+            () -> effects.add(RequestEffect.ReleaseSlot.unused(slotRequestNumber, upstream)));
     return drainEffects();
   }
 
   /** Handles a slot request that the coordinator refused. */
   public List<RequestEffect> slotRefused(
       long nowMillis, long slotRequestNumber, long retryAfterMillis, String reason) {
-    InFlightRequest request = awaitingSlot.remove(slotRequestNumber);
-    if (request != null
-        && request.state == State.AWAITING_SLOT
-        && request.slotRequestNumber == slotRequestNumber) {
-      request.decidedByCoordinator = true;
-      responses.refuse(nowMillis, request, retryAfterMillis, reason);
-    }
+    slotRequests
+        .answered(slotRequestNumber)
+        .ifPresent(
+            request -> {
+              request.decidedByCoordinator = true;
+              responses.refuse(nowMillis, request, retryAfterMillis, reason);
+            });
     return drainEffects();
   }
 
@@ -245,26 +227,19 @@
   }
 
   /** Records a heartbeat of the coordinator. */
-  public void heartbeatReceived(long nowMillis, long term, int hostCount) {
+  public void heartbeatReceived(long nowMillis, long term) {
     coordinator.heartbeatReceived(nowMillis);
     responses.log().heartbeatReceived(nowMillis, term);
-    localSelector.updateHostCount(hostCount);
   }
 
-  /** Replaces the known key owners of a service, mapped by the first key of each range. */
-  public void replaceOwners(ServiceId service, Map<Integer, UpstreamId> byFirstKey) {
-    localSelector.owners(service).replaceAll(byFirstKey);
+  /** Returns what this host may send to cold upstreams without a coordinator, as mutable object. */
+  public ColdAllowance coldAllowance() {
+    return localSelector.coldAllowance();
   }
 
-  /**
-   * Updates some of the known key owners of a service.
-   *
-   * @param byFirstKey changed owners, mapped by the first key of each range
-   * @param mergedFirstKeys first keys of the ranges that were merged into the preceding range
-   */
-  public void updateOwners(
-      ServiceId service, Map<Integer, UpstreamId> byFirstKey, Set<Integer> mergedFirstKeys) {
-    localSelector.owners(service).update(byFirstKey, mergedFirstKeys);
+  /** Returns the known key owners of a service, as a mutable object. */
+  public KeyOwnerCache owners(ServiceId service) {
+    return localSelector.owners(service);
   }
 
   /**
@@ -272,7 +247,7 @@
    * upstreams locally for the requests that wait for a slot.
    */
   public List<RequestEffect> tick(long nowMillis) {
-    if (!awaitingSlot.isEmpty() && !coordinator.usable(nowMillis)) {
+    if (!slotRequests.isEmpty() && !coordinator.usable(nowMillis)) {
       selectAllLocally(nowMillis);
     }
     recordEvidence(nowMillis, crashGuard.tick(nowMillis));
@@ -284,7 +259,7 @@
 
   private void expire(long nowMillis, InFlightRequest request) {
     if (request.state == State.AWAITING_SLOT) {
-      cancelSlotRequest(request);
+      slotRequests.cancel(request);
       responses.refuse(
           nowMillis,
           request,
@@ -306,8 +281,7 @@
       return;
     }
     request.decidedByCoordinator = false;
-    request.slotRequestNumber = nextSlotRequestNumber++;
-    request.slotRequestedMillis = nowMillis;
+    slotRequests.number(nowMillis, request);
     OptionalLong closedMillis = notices.closedMillis(nowMillis, request);
     if (closedMillis.isPresent()) {
       responses.refuse(nowMillis, request, closedMillis.getAsLong(), CLOSED_REASON);
@@ -317,31 +291,21 @@
       selectLocally(nowMillis, request);
       return;
     }
-    awaitingSlot.put(request.slotRequestNumber, request);
     if (!request.keyed) {
       request.excludedUpstreams.addAll(localSelector.unreachableUpstreams(nowMillis));
       request.excludedUpstreams.addAll(notices.closures().closed(nowMillis));
     }
-    effects.add(
-        new RequestEffect.RequestSlot(
-            request.slotRequestNumber,
-            request.service,
-            request.key(),
-            request.route.priority(),
-            request.deadlineMillis - nowMillis,
-            Math.max(0, request.targetMillis - nowMillis),
-            request.route.kind() == RequestKind.IDEMPOTENT_LARGE,
-            crashGuard.isSuspect(request),
-            request.excludedUpstreams));
+    slotRequests.send(nowMillis, request, crashGuard.isSuspect(request));
   }
 
   private void selectAllLocally(long nowMillis) {
-    List<InFlightRequest> waitingRequests = List.copyOf(awaitingSlot.values());
-    waitingRequests.forEach(
-        request -> {
-          cancelSlotRequest(request);
-          selectLocally(nowMillis, request);
-        });
+    slotRequests
+        .waiting()
+        .forEach(
+            request -> {
+              slotRequests.cancel(request);
+              selectLocally(nowMillis, request);
+            });
   }
 
   private void selectLocally(long nowMillis, InFlightRequest request) {
@@ -364,12 +328,6 @@
     }
   }
 
-  private void cancelSlotRequest(InFlightRequest request) {
-    if (awaitingSlot.remove(request.slotRequestNumber) != null) {
-      effects.add(new RequestEffect.CancelSlotRequest(request.slotRequestNumber));
-    }
-  }
-
   private void send(long nowMillis, InFlightRequest request, UpstreamRegistration upstream) {
     if (nowMillis >= request.deadlineMillis) {
       // The event loop is delayed; otherwise tick would have ended the request already.
@@ -396,7 +354,10 @@
             request.idempotent(),
             request.decidedByCoordinator));
     if (upstream.cold(nowMillis)) {
-      effects.add(responses.log().sentCold(nowMillis, request, localSelector.hostCount()));
+      effects.add(
+          responses
+              .log()
+              .sentCold(nowMillis, request, coldAllowance().partitions(nowMillis).size()));
     }
   }
 
@@ -460,6 +421,27 @@
     }
   }
 
+  /** Sends a request to the upstream of its slot, or releases the slot and looks for another. */
+  private void useSlot(
+      long nowMillis, InFlightRequest request, UpstreamId upstream, long fencingToken) {
+    Optional<UpstreamRegistration> entry = catalog.upstream(upstream).filter(catalog::usable);
+    long closedMillis =
+        entry.map(usable -> notices.closures().closedMillis(nowMillis, usable)).orElse(0L);
+    request.decidedByCoordinator = entry.isPresent();
+    if (entry.isPresent() && closedMillis == 0) {
+      request.fencingToken = fencingToken;
+      send(nowMillis, request, entry.get());
+      return;
+    }
+    effects.add(RequestEffect.ReleaseSlot.unused(request.slotRequestNumber, upstream));
+    if (entry.isEmpty()) {
+      request.excludedUpstreams.add(upstream);
+      retryNotRun(nowMillis, request, true);
+    } else {
+      turnAway(nowMillis, request, closedMillis);
+    }
+  }
+
   /** Handles a slot at an upstream that wants no requests of this host now. */
   private void turnAway(long nowMillis, InFlightRequest request, long closedMillis) {
     if (request.keyed) {
@@ -477,11 +459,11 @@
   }
 
   private void refuseWaitingQuarantined(long nowMillis) {
-    List.copyOf(awaitingSlot.values()).stream()
+    slotRequests.waiting().stream()
         .filter(request -> crashGuard.refuses(nowMillis, request))
         .forEach(
             request -> {
-              cancelSlotRequest(request);
+              slotRequests.cancel(request);
               responses.refuseQuarantined(
                   nowMillis, request, crashGuard.remainingMillis(nowMillis, request));
             });
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
@@ -77,9 +77,9 @@
    * Returns the entry of a request that is sent to a cold upstream. Each such request is logged, as
    * their number is limited over all hosts.
    *
-   * @param hostCount number of hosts by which this host divides the rate of a cold upstream
+   * @param leasedPartitions number of partitions of cold upstreams that this host holds a lease for
    */
-  RequestEffect sentCold(long nowMillis, InFlightRequest request, int hostCount) {
+  RequestEffect sentCold(long nowMillis, InFlightRequest request, int leasedPartitions) {
     return new RequestEffect.Log(
         LogEntry.of("cold-send")
             .with("request", request.head.attemptId())
@@ -92,7 +92,7 @@
             .with("term", coordinatorTerm)
             .with("coordinatorAgeMillis", coordinatorAgeMillis(nowMillis))
             .with("slotAgeMillis", nowMillis - request.slotRequestedMillis)
-            .with("hostCount", hostCount));
+            .with("leasedPartitions", leasedPartitions));
   }
 
   /** Returns the entry of a failed attempt at an upstream. */
--- /dev/null
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/SlotRequests.java
@@ -0,0 +1,73 @@
+package dev.hornbeamwheel.core.host.request;
+
+import dev.hornbeamwheel.core.host.catalog.RequestKind;
+import dev.hornbeamwheel.core.host.cold.ColdAllowance;
+import dev.hornbeamwheel.core.host.request.InFlightRequest.State;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The slot requests of this host that the coordinator has not answered yet. */
+final class SlotRequests {
+  private final Map<Long, InFlightRequest> waiting = new HashMap<>();
+  private final ColdAllowance coldAllowance;
+  private final List<RequestEffect> effects;
+  private long nextNumber = 1;
+
+  /**
+   * Creates an empty collection.
+   *
+   * @param coldAllowance its lease is renewed along with slot requests
+   * @param effects receives the effects
+   */
+  SlotRequests(ColdAllowance coldAllowance, List<RequestEffect> effects) {
+    this.coldAllowance = coldAllowance;
+    this.effects = effects;
+  }
+
+  boolean isEmpty() {
+    return waiting.isEmpty();
+  }
+
+  /** Returns the requests that wait for a slot. */
+  List<InFlightRequest> waiting() {
+    return List.copyOf(waiting.values());
+  }
+
+  /** Gives a request the number of its next slot request. */
+  void number(long nowMillis, InFlightRequest request) {
+    request.slotRequestNumber = nextNumber++;
+    request.slotRequestedMillis = nowMillis;
+  }
+
+  /** Requests a slot from the coordinator. */
+  void send(long nowMillis, InFlightRequest request, boolean suspect) {
+    waiting.put(request.slotRequestNumber, request);
+    effects.add(
+        new RequestEffect.RequestSlot(
+            request.slotRequestNumber,
+            request.service,
+            request.key(),
+            request.route.priority(),
+            request.deadlineMillis - nowMillis,
+            Math.max(0, request.targetMillis - nowMillis),
+            request.route.kind() == RequestKind.IDEMPOTENT_LARGE,
+            suspect,
+            request.excludedUpstreams,
+            coldAllowance.requestDue(nowMillis, request.slotRequestNumber)));
+  }
+
+  /** Removes the request of an answered slot request; empty if it does not wait for it any more. */
+  Optional<InFlightRequest> answered(long number) {
+    return Optional.ofNullable(waiting.remove(number))
+        .filter(request -> request.state == State.AWAITING_SLOT)
+        .filter(request -> request.slotRequestNumber == number);
+  }
+
+  void cancel(InFlightRequest request) {
+    if (waiting.remove(request.slotRequestNumber) != null) {
+      effects.add(new RequestEffect.CancelSlotRequest(request.slotRequestNumber));
+    }
+  }
+}
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoad.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoad.java
@@ -1,5 +1,6 @@
 package dev.hornbeamwheel.core.host.slots;
 
+import dev.hornbeamwheel.core.host.cold.Pacer;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -30,8 +31,7 @@
   /** Age after which a reported relative run time is ignored, in milliseconds. */
   private static final long RELATIVE_WORK_MAX_AGE_MILLIS = 400;
 
-  /** Burst size of the token bucket that limits the requests to a cold upstream. */
-  private static final double MAX_COLD_TOKENS = 1;
+  private static final double MILLIS_PER_SECOND = 1_000;
 
   private final Map<SlotRequestId, Long> startMillisByRequest = new HashMap<>();
   private final Set<SlotRequestId> runningSuspects = new HashSet<>();
@@ -42,11 +42,17 @@
   private long backoffUntilMillis;
   private int relativeWorkPercent = 100;
   private long relativeWorkReportedMillis;
-  private double coldTokens = MAX_COLD_TOKENS;
-  private long coldRefilledMillis;
+  private final Pacer coldPacer;
 
-  UpstreamLoad(double runMillis) {
+  /**
+   * Creates the load of an idle upstream.
+   *
+   * @param runMillis assumed run time of a request, in milliseconds
+   * @param coldPacer pacer of the requests while the upstream is cold
+   */
+  UpstreamLoad(double runMillis, Pacer coldPacer) {
     this.meanRunMillis = runMillis;
+    this.coldPacer = coldPacer;
   }
 
   double meanRunMillis() {
@@ -67,15 +73,19 @@
     return backoffUntilMillis;
   }
 
-  /** Returns whether a request may start now. */
-  boolean canStart(long nowMillis, int slots, boolean cold, double coldPerSecond) {
+  /**
+   * Returns whether a request may start now.
+   *
+   * @param paced whether the upstream is cold, and its requests are paced
+   */
+  boolean canStart(long nowMillis, int slots, boolean paced) {
     if (nowMillis < backoffUntilMillis || startMillisByRequest.size() >= slots) {
       return false;
     }
     if (noResponseRate > MAX_NO_RESPONSE_RATE && !startMillisByRequest.isEmpty()) {
       return false;
     }
-    return !cold || coldPerSecond <= 0 || coldTokens(nowMillis, coldPerSecond) >= 1;
+    return !paced || coldPacer.ready(nowMillis);
   }
 
   /** Returns whether a request runs that may have ended another upstream. */
@@ -83,20 +93,20 @@
     return !runningSuspects.isEmpty();
   }
 
-  private double coldTokens(long nowMillis, double perSecond) {
-    double refill = (nowMillis - coldRefilledMillis) * perSecond / 1_000;
-    coldTokens = Math.min(MAX_COLD_TOKENS, coldTokens + refill);
-    coldRefilledMillis = nowMillis;
-    return coldTokens;
-  }
-
-  void recordStart(long nowMillis, SlotRequestId requestId, boolean cold, boolean suspect) {
+  /**
+   * Records the start of a request.
+   *
+   * @param pacedPerSecond rate at which requests are paced, in requests per second; zero if the
+   *     upstream is not cold or its rate is not limited
+   */
+  void recordStart(
+      long nowMillis, SlotRequestId requestId, double pacedPerSecond, boolean suspect) {
     startMillisByRequest.put(requestId, nowMillis);
     if (suspect) {
       runningSuspects.add(requestId);
     }
-    if (cold) {
-      coldTokens -= 1;
+    if (pacedPerSecond > 0) {
+      coldPacer.record(nowMillis, MILLIS_PER_SECOND / pacedPerSecond);
     }
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoads.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoads.java
@@ -1,8 +1,8 @@
 package dev.hornbeamwheel.core.host.slots;
 
 import dev.hornbeamwheel.core.host.catalog.Catalog;
-import dev.hornbeamwheel.core.host.catalog.ServiceSpec;
 import dev.hornbeamwheel.core.host.catalog.UpstreamRegistration;
+import dev.hornbeamwheel.core.host.cold.Pacer;
 import dev.hornbeamwheel.core.model.ServiceId;
 import dev.hornbeamwheel.core.model.UpstreamId;
 import java.util.HashMap;
@@ -43,14 +43,21 @@
     return Optional.ofNullable(loads.get(upstream));
   }
 
-  private UpstreamLoad load(UpstreamRegistration entry) {
-    return loads.computeIfAbsent(
-        entry.id(), id -> new UpstreamLoad(initialRunMillis.applyAsDouble(entry.service())));
+  private UpstreamLoad load(long nowMillis, UpstreamRegistration entry) {
+    return loads.computeIfAbsent(entry.id(), id -> newLoad(nowMillis, entry.service()));
+  }
+
+  /** Returns the load of an upstream that is considered for the first time. */
+  private UpstreamLoad newLoad(long nowMillis, ServiceId service) {
+    return new UpstreamLoad(
+        initialRunMillis.applyAsDouble(service), Pacer.startingAt((double) nowMillis));
   }
 
   void recordStart(
       long nowMillis, SlotRequestId requestId, UpstreamRegistration entry, boolean suspect) {
-    load(entry).recordStart(nowMillis, requestId, entry.cold(nowMillis), suspect);
+    double pacedPerSecond =
+        entry.cold(nowMillis) ? catalog.coldRequestsPerSecond(entry.service()) : 0;
+    load(nowMillis, entry).recordStart(nowMillis, requestId, pacedPerSecond, suspect);
   }
 
   /** Removes the running requests of a host. */
@@ -68,9 +75,8 @@
   }
 
   boolean canStart(long nowMillis, UpstreamRegistration entry) {
-    boolean cold = entry.cold(nowMillis);
-    double coldPerSecond = cold ? coldPerSecond(entry.service()) : 0;
-    return load(entry).canStart(nowMillis, entry.slots(), cold, coldPerSecond);
+    boolean paced = paced(nowMillis, entry);
+    return load(nowMillis, entry).canStart(nowMillis, entry.slots(), paced);
   }
 
   /**
@@ -78,7 +84,13 @@
    * that none of them is taken for the cause when another ends the upstream.
    */
   boolean canStart(long nowMillis, UpstreamRegistration entry, SlotRequest request) {
-    return canStart(nowMillis, entry) && !(request.suspect() && load(entry).runsSuspect());
+    return canStart(nowMillis, entry)
+        && !(request.suspect() && load(nowMillis, entry).runsSuspect());
+  }
+
+  /** Returns whether an upstream is cold, and can serve only a limited rate while it is. */
+  private boolean paced(long nowMillis, UpstreamRegistration entry) {
+    return entry.cold(nowMillis) && catalog.coldRequestsPerSecond(entry.service()) > 0;
   }
 
   /** Returns the upstream that can start a request without a key at the lowest cost. */
@@ -102,17 +114,18 @@
     double remotePenalty =
         request.largeResponse() ? REMOTE_LARGE_PENALTY_MILLIS : REMOTE_PENALTY_MILLIS;
     double distanceCost = entry.dataCentre().equals(request.dataCentre()) ? 0 : remotePenalty;
-    UpstreamLoad load = load(entry);
+    UpstreamLoad load = load(nowMillis, entry);
     return load.expectedRunMillis(nowMillis) * (1 + 4 * load.failureRate()) + distanceCost;
   }
 
   /** Returns the throughput of an upstream, in requests per second. */
   double requestsPerSecond(long nowMillis, UpstreamRegistration entry) {
-    UpstreamLoad load = load(entry);
+    UpstreamLoad load = load(nowMillis, entry);
     double successRate = Math.max(0.1, 1 - load.failureRate());
     double warmPerSecond = entry.slots() * 1_000 / Math.max(1, load.meanRunMillis()) * successRate;
-    double coldLimit = entry.cold(nowMillis) ? coldPerSecond(entry.service()) : 0;
-    return coldLimit > 0 ? Math.min(warmPerSecond, coldLimit) : warmPerSecond;
+    return paced(nowMillis, entry)
+        ? Math.min(warmPerSecond, catalog.coldRequestsPerSecond(entry.service()))
+        : warmPerSecond;
   }
 
   /** Returns the throughput of the usable upstreams of a service, in requests per second. */
@@ -143,15 +156,7 @@
   }
 
   private double currentRate(long nowMillis, UpstreamRegistration entry) {
-    boolean inBackoff = nowMillis < load(entry).backoffUntilMillis();
+    boolean inBackoff = nowMillis < load(nowMillis, entry).backoffUntilMillis();
     return inBackoff ? 0 : requestsPerSecond(nowMillis, entry);
   }
-
-  private double coldPerSecond(ServiceId service) {
-    return catalog
-        .configuration()
-        .flatMap(configuration -> configuration.service(service))
-        .map(ServiceSpec::coldRequestsPerSecond)
-        .orElse(0.0);
-  }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatingHostTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatingHostTest.java
@@ -126,7 +126,8 @@
                 500,
                 false,
                 false,
-                Set.of(UpstreamId.of("a")))));
+                Set.of(UpstreamId.of("a")),
+                Optional.empty())));
 
     assertThat(sentToHosts).noneMatch(message -> message instanceof HostMessage.SlotGrant);
   }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/CoordinatorKeysTest.java
@@ -57,7 +57,8 @@
             1,
             new HostIdentity(HostId.of("e-1"), VANNES, ADDRESS, HostCapacity.unknown(), 10_000, 1),
             catalog,
-            new KnowledgeExchange(catalog, Quarantine.empty()));
+            new KnowledgeExchange(catalog, Quarantine.empty()),
+            now -> true);
     coordinator.receive(
         0, LINK, new HostMessage.Hello(HostId.of("e-2"), VANNES, HostCapacity.unknown()));
   }
@@ -95,7 +96,7 @@
     KeyEffect.Grant grant = tickUntil(KeyEffect.Grant.class);
     HostMessage.SlotRequest request =
         new HostMessage.SlotRequest(
-            9, LEDGER, OptionalInt.of(7), 1, 1_200, 600, false, false, Set.of());
+            9, LEDGER, OptionalInt.of(7), 1, 1_200, 600, false, false, Set.of(), Optional.empty());
     assertThat(coordinator.receive(nowMillis, LINK, request)).isEmpty();
 
     List<HostEffect> effects =
--- a/core/src/test/java/dev/hornbeamwheel/core/host/request/ColdOwnerTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/request/ColdOwnerTest.java
@@ -41,7 +41,7 @@
 
   private RequestFlow flow(long seed) {
     RequestFlow flow = RequestFlow.create(catalog, Quarantine.empty(), VANNES, seed);
-    flow.replaceOwners(LEDGER, Map.of(0, OWNER));
+    flow.owners(LEDGER).replaceAll(Map.of(0, OWNER));
     return flow;
   }
 
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
@@ -21,6 +21,7 @@
 import dev.hornbeamwheel.proto.host.RefuseBody;
 import dev.hornbeamwheel.proto.host.UpstreamsLeavingBody;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -54,15 +55,7 @@
               .setRetryAfterMillis(toInt(refuse.retryAfterMillis()))
               .setReason(refuse.reason()));
     } else if (message instanceof HostMessage.Heartbeat beat) {
-      frame.setHeartbeat(
-          HeartbeatBody.newBuilder()
-              .setTerm(beat.term())
-              .setLeased(beat.leaseHeld())
-              .setHosts(beat.connectedHosts())
-              .setBestCapacity(beat.bestCapacity().millicores())
-              .setHandingOver(beat.handingOver())
-              .addAllConfirmations(
-                  beat.confirmations().stream().map(CatalogChangeMapping::confirmation).toList()));
+      frame.setHeartbeat(heartbeat(beat));
     } else if (message instanceof HostMessage.Cancel cancel) {
       frame.setCancel(CancelBody.newBuilder().setAsk(cancel.requestNumber()));
     } else {
@@ -122,15 +115,7 @@
                 frame.getRefuse().getRetryAfterMillis(),
                 frame.getRefuse().getReason());
         case HEARTBEAT ->
-            new HostMessage.Heartbeat(
-                frame.getHeartbeat().getTerm(),
-                frame.getHeartbeat().getLeased(),
-                frame.getHeartbeat().getHosts(),
-                new HostCapacity(frame.getHeartbeat().getBestCapacity()),
-                frame.getHeartbeat().getHandingOver(),
-                frame.getHeartbeat().getConfirmationsList().stream()
-                    .map(CatalogChangeMapping::confirmation)
-                    .toList());
+            heartbeat(frame.getHeartbeat());
         case CANCEL -> new HostMessage.Cancel(frame.getCancel().getAsk());
         case HOLD ->
             new HostMessage.SlotInUse(
@@ -177,8 +162,37 @@
             .toList());
   }
 
+  private static HeartbeatBody heartbeat(HostMessage.Heartbeat beat) {
+    HeartbeatBody.Builder body =
+        HeartbeatBody.newBuilder()
+            .setTerm(beat.term())
+            .setLeased(beat.leaseHeld())
+            .setHosts(beat.connectedHosts())
+            .setBestCapacity(beat.bestCapacity().millicores())
+            .setHandingOver(beat.handingOver())
+            .addAllConfirmations(
+                beat.confirmations().stream().map(CatalogChangeMapping::confirmation).toList());
+    beat.coldLease().map(ColdLeaseMapping::toProto).ifPresent(body::setColdLease);
+    return body.build();
+  }
+
+  private static HostMessage.Heartbeat heartbeat(HeartbeatBody body) {
+    return new HostMessage.Heartbeat(
+        body.getTerm(),
+        body.getLeased(),
+        body.getHosts(),
+        new HostCapacity(body.getBestCapacity()),
+        body.getHandingOver(),
+        body.getConfirmationsList().stream().map(CatalogChangeMapping::confirmation).toList(),
+        body.hasColdLease()
+            ? Optional.of(ColdLeaseMapping.fromProto(body.getColdLease()))
+            : Optional.empty());
+  }
+
   private static AskBody ask(HostMessage.SlotRequest ask) {
-    return AskBody.newBuilder()
+    AskBody.Builder body = AskBody.newBuilder();
+    ask.coldLeaseRequest().map(ColdLeaseMapping::toProto).ifPresent(body::setColdLeaseRequest);
+    return body
         .setAsk(ask.requestNumber())
         .setService(ask.service().value())
         .setKeyPlusOne(keyPlusOne(ask.key()))
@@ -201,7 +215,10 @@
         body.getTargetMillis(),
         body.getLarge(),
         body.getSuspect(),
-        body.getAvoidList().stream().map(UpstreamId::of).collect(Collectors.toSet()));
+        body.getAvoidList().stream().map(UpstreamId::of).collect(Collectors.toSet()),
+        body.hasColdLeaseRequest()
+            ? Optional.of(ColdLeaseMapping.fromProto(body.getColdLeaseRequest()))
+            : Optional.empty());
   }
 
   private static HostMessage.Done done(DoneBody body) {
--- a/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
+++ b/wire/src/test/java/dev/hornbeamwheel/wire/HostMessageMappingTest.java
@@ -8,6 +8,8 @@
 import dev.hornbeamwheel.core.host.catalog.TableChanges;
 import dev.hornbeamwheel.core.host.catalog.TableConfirmation;
 import dev.hornbeamwheel.core.host.catalog.UpstreamIncarnation;
+import dev.hornbeamwheel.core.host.cold.ColdLease;
+import dev.hornbeamwheel.core.host.cold.ColdLeaseRequest;
 import dev.hornbeamwheel.core.host.lease.HostCapacity;
 import dev.hornbeamwheel.core.host.node.HostMessage;
 import dev.hornbeamwheel.core.model.DataCentreId;
@@ -19,6 +21,7 @@
 import dev.hornbeamwheel.proto.host.HostFrame;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -47,7 +50,7 @@
   void capacitiesAndHandOversAreKept() throws Exception {
     HostCapacity strong = new HostCapacity(1_500);
     assertKept(new HostMessage.Hello(HostId.of("host-1"), DataCentreId.of("vannes"), strong));
-    assertKept(new HostMessage.Heartbeat(7, false, 142, strong, true, List.of()));
+    assertKept(new HostMessage.Heartbeat(7, false, 142, strong, true, List.of(), Optional.empty()));
   }
 
   @Test
@@ -72,7 +75,8 @@
             false,
             List.of(
                 new TableConfirmation(none, 0),
-                new TableConfirmation(TableChanges.none(CatalogTable.REGISTRATIONS, 9), 740))));
+                new TableConfirmation(TableChanges.none(CatalogTable.REGISTRATIONS, 9), 740)),
+            Optional.of(new ColdLease(41, Set.of(0, 127)))));
   }
 
   @Test
@@ -88,7 +92,16 @@
     assertKept(new HostMessage.UpstreamsLeaving(List.of(upstream)));
     assertKept(
         new HostMessage.SlotRequest(
-            3, LEDGER, OptionalInt.of(0), 1, 900, 400, true, true, Set.of(upstream.id())));
+            3,
+            LEDGER,
+            OptionalInt.of(0),
+            1,
+            900,
+            400,
+            true,
+            true,
+            Set.of(upstream.id()),
+            Optional.of(new ColdLeaseRequest(Set.of(5)))));
   }
 
   @Test
