--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -86,7 +86,7 @@
     this.knowledge = knowledge;
     this.self = self;
     this.catalog = catalog;
-    this.broker = SlotBroker.create(catalog, new KeyOwners());
+    this.broker = SlotBroker.create(catalog, new KeyOwners(), holdsLease);
     this.nowMillis = nowMillis;
     this.termStartMillis = nowMillis;
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/SlotBroker.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.function.LongPredicate;
 
 /**
  * Grants the slots of all upstreams to the requests of all hosts.
@@ -35,16 +36,21 @@
       new PriorityQueue<>(Comparator.comparingLong(BackoffEnd::atMillis));
   private final List<SlotEffect> effects = new ArrayList<>();
 
-  private SlotBroker(Catalog catalog, KeyLookup keyLookup) {
+  private SlotBroker(Catalog catalog, KeyLookup keyLookup, LongPredicate coldAllowed) {
     this.catalog = catalog;
     this.keyLookup = keyLookup;
-    this.loads = new UpstreamLoads(catalog, service -> queue(service).meanRunMillis());
+    this.loads = new UpstreamLoads(catalog, service -> queue(service).meanRunMillis(), coldAllowed);
     this.estimator = new StartEstimator(catalog, keyLookup, loads);
   }
 
-  /** Returns a broker without slot requests. */
-  public static SlotBroker create(Catalog catalog, KeyLookup keyLookup) {
-    return new SlotBroker(catalog, keyLookup);
+  /**
+   * Returns a broker without slot requests.
+   *
+   * @param coldAllowed whether slots of cold upstreams may be granted at a time, in milliseconds;
+   *     only one broker of the fleet may be allowed to at a time
+   */
+  public static SlotBroker create(Catalog catalog, KeyLookup keyLookup, LongPredicate coldAllowed) {
+    return new SlotBroker(catalog, keyLookup, coldAllowed);
   }
 
   /**
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/StartEstimator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/StartEstimator.java
@@ -123,7 +123,7 @@
     if (request.key().isPresent()) {
       return keyOwner
           .flatMap(catalog::upstream)
-          .map(entry -> loads.requestsPerSecond(nowMillis, entry))
+          .map(entry -> loads.startsPerSecond(nowMillis, entry))
           .orElseGet(() -> 2_000 / queue.meanRunMillis());
     }
     return loads.requestsPerSecond(nowMillis, request.service());
--- a/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoads.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/slots/UpstreamLoads.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongPredicate;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -22,8 +23,11 @@
   /** Cost of serving a large response from another data centre, in milliseconds of run time. */
   private static final double REMOTE_LARGE_PENALTY_MILLIS = 120;
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private final Catalog catalog;
   private final ToDoubleFunction<ServiceId> initialRunMillis;
+  private final LongPredicate coldAllowed;
   private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
   private final Map<ServiceId, ServiceRate> rates = new HashMap<>();
 
@@ -32,10 +36,13 @@
    *
    * @param initialRunMillis mean run time of a service, assumed of an upstream that has served no
    *     request yet
+   * @param coldAllowed whether requests may start at cold upstreams at a time, in milliseconds
    */
-  UpstreamLoads(Catalog catalog, ToDoubleFunction<ServiceId> initialRunMillis) {
+  UpstreamLoads(
+      Catalog catalog, ToDoubleFunction<ServiceId> initialRunMillis, LongPredicate coldAllowed) {
     this.catalog = catalog;
     this.initialRunMillis = initialRunMillis;
+    this.coldAllowed = coldAllowed;
   }
 
   /** Returns the load of an upstream, or empty if it was never considered for a request. */
@@ -47,10 +54,15 @@
     return loads.computeIfAbsent(entry.id(), id -> newLoad(nowMillis, entry.service()));
   }
 
-  /** Returns the load of an upstream that is considered for the first time. */
+  /**
+   * Returns the load of an upstream that is considered for the first time. What others, such as an
+   * earlier coordinator, have sent it is not known, so that it is paced as if that was just now.
+   */
   private UpstreamLoad newLoad(long nowMillis, ServiceId service) {
+    double coldPerSecond = catalog.coldRequestsPerSecond(service);
+    double intervalMillis = coldPerSecond > 0 ? MILLIS_PER_SECOND / coldPerSecond : 0;
     return new UpstreamLoad(
-        initialRunMillis.applyAsDouble(service), Pacer.startingAt((double) nowMillis));
+        initialRunMillis.applyAsDouble(service), Pacer.startingAt(nowMillis + intervalMillis));
   }
 
   void recordStart(
@@ -76,7 +88,8 @@
 
   boolean canStart(long nowMillis, UpstreamRegistration entry) {
     boolean paced = paced(nowMillis, entry);
-    return load(nowMillis, entry).canStart(nowMillis, entry.slots(), paced);
+    return !(paced && !coldAllowed.test(nowMillis))
+        && load(nowMillis, entry).canStart(nowMillis, entry.slots(), paced);
   }
 
   /**
@@ -118,6 +131,15 @@
     return load.expectedRunMillis(nowMillis) * (1 + 4 * load.failureRate()) + distanceCost;
   }
 
+  /**
+   * Returns the rate at which requests may start at an upstream, in requests per second; zero if it
+   * is cold and no request may start there.
+   */
+  double startsPerSecond(long nowMillis, UpstreamRegistration entry) {
+    boolean forbidden = paced(nowMillis, entry) && !coldAllowed.test(nowMillis);
+    return forbidden ? 0 : requestsPerSecond(nowMillis, entry);
+  }
+
   /** Returns the throughput of an upstream, in requests per second. */
   double requestsPerSecond(long nowMillis, UpstreamRegistration entry) {
     UpstreamLoad load = load(nowMillis, entry);
@@ -157,6 +179,6 @@
 
   private double currentRate(long nowMillis, UpstreamRegistration entry) {
     boolean inBackoff = nowMillis < load(nowMillis, entry).backoffUntilMillis();
-    return inBackoff ? 0 : requestsPerSecond(nowMillis, entry);
+    return inBackoff ? 0 : startsPerSecond(nowMillis, entry);
   }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyLoadSimulation.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/keys/KeyLoadSimulation.java
@@ -57,7 +57,7 @@
   KeyLoadSimulation(int upstreams, long seed) {
     keyedService = new KeyedServiceSimulation(upstreams, seed);
     random = new Random(seed);
-    broker = SlotBroker.create(keyedService.catalog, new SimulatedOwners());
+    broker = SlotBroker.create(keyedService.catalog, new SimulatedOwners(), now -> true);
     keyedService.capacity =
         registration -> broker.requestsPerSecond(keyedService.nowMillis, registration);
     keyedService.beforeStep = this::step;
--- a/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerFleetTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerFleetTest.java
@@ -34,7 +34,7 @@
 
   private final Catalog catalog = Catalog.empty();
   private final LookupCountingOwners owners = new LookupCountingOwners();
-  private final SlotBroker broker = SlotBroker.create(catalog, owners);
+  private final SlotBroker broker = SlotBroker.create(catalog, owners, now -> true);
   private final List<SlotEffect> effects = new ArrayList<>();
   private long nextNumber;
 
--- a/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerFuzzTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerFuzzTest.java
@@ -71,7 +71,7 @@
     private final Random random;
     private final Catalog catalog = Catalog.empty();
     private final MovingOwners owners = new MovingOwners();
-    private final SlotBroker broker = SlotBroker.create(catalog, owners);
+    private final SlotBroker broker = SlotBroker.create(catalog, owners, now -> true);
     private final Map<Long, SlotRequest> waiting = new HashMap<>();
     private final Map<Long, UpstreamId> running = new HashMap<>();
     private final Map<UpstreamId, Integer> busySlots = new HashMap<>();
--- a/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/slots/SlotBrokerTest.java
@@ -33,7 +33,7 @@
   private static final int SEPARATE_KEY = 9;
 
   private final Catalog catalog = Catalog.empty();
-  private final SlotBroker broker = SlotBroker.create(catalog, new TwoOwners());
+  private final SlotBroker broker = SlotBroker.create(catalog, new TwoOwners(), now -> true);
   private final Map<Long, UpstreamId> granted = new HashMap<>();
   private final List<SlotEffect.Refuse> refused = new ArrayList<>();
   private long nextNumber = 1;
@@ -95,25 +95,27 @@
   private long requestSlot(
       long now, ServiceId service, OptionalInt key, int priority, boolean large) {
     long number = nextNumber++;
-    collect(
-        broker.requestSlot(
-            now,
-            new SlotRequest(
-                LINK,
-                number,
-                VANNES,
-                service,
-                key,
-                priority,
-                now,
-                now + 1_200,
-                now + 600,
-                large,
-                false,
-                Set.of())));
+    collect(broker.requestSlot(now, request(now, number, service, key, priority, large)));
     return number;
   }
 
+  private static SlotRequest request(
+      long now, long number, ServiceId service, OptionalInt key, int priority, boolean large) {
+    return new SlotRequest(
+        LINK,
+        number,
+        VANNES,
+        service,
+        key,
+        priority,
+        now,
+        now + 1_200,
+        now + 600,
+        large,
+        false,
+        Set.of());
+  }
+
   private void release(long now, long number, Completion completion, long runMillis) {
     collect(
         broker.release(
@@ -186,6 +188,52 @@
     assertThat(granted.size()).isLessThanOrEqualTo((int) (3 * COLD_PER_SECOND) + 2);
   }
 
+  /**
+   * Guards against a cold upstream that gets a request of each new coordinator at once, whatever
+   * the one before has just sent it.
+   */
+  @Test
+  void aNewBrokerBeginsWithoutAllowanceForAColdUpstream() {
+    upstream("i-1", DESK, VANNES, 10_000);
+    long start = 5_000;
+
+    long early = requestSlot(start, DESK, 1, false);
+    collect(broker.tick(start + (long) (1_000 / COLD_PER_SECOND)));
+    assertThat(granted).doesNotContainKey(early);
+    collect(broker.tick(start + (long) (1_000 / COLD_PER_SECOND) + 1));
+
+    assertThat(granted).containsKey(early);
+  }
+
+  /** Guards against a cold upstream that two coordinators use, one of which has lost its lease. */
+  @Test
+  void aBrokerWithoutTheLeaseGrantsOnlyWarmUpstreams() {
+    SlotBroker withoutLease = SlotBroker.create(catalog, new TwoOwners(), now -> false);
+    upstream("i-cold", DESK, VANNES, 10_000);
+    collect(
+        withoutLease.requestSlot(5_000, request(5_000, 1, DESK, OptionalInt.empty(), 1, false)));
+    assertThat(granted).isEmpty();
+    upstream("i-warm", DESK, VANNES, 0);
+
+    collect(
+        withoutLease.requestSlot(5_025, request(5_025, 2, DESK, OptionalInt.empty(), 1, false)));
+
+    assertThat(granted).containsValue(UpstreamId.of("i-warm"));
+  }
+
+  /** Guards against requests that wait in vain for an upstream which this broker may not use. */
+  @Test
+  void aRequestThatOnlyForbiddenUpstreamsCouldServeIsRefusedAtOnce() {
+    SlotBroker withoutLease = SlotBroker.create(catalog, new TwoOwners(), now -> false);
+    upstream("i-ledger", LEDGER, VANNES, 10_000);
+
+    collect(
+        withoutLease.requestSlot(
+            5_000, request(5_000, 1, LEDGER, OptionalInt.of(HOT_KEY), 1, false)));
+
+    assertThat(refused).hasSize(1);
+  }
+
   @Test
   void largeResponsesStayInTheDataCentreWhileItHasFreeSlots() {
     upstream("i-far", DESK, MORLAIX, 0);
