--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalUpstreamSelector.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/LocalUpstreamSelector.java
@@ -30,6 +30,12 @@
   /** Cost of an upstream in another data centre, in running requests. */
   private static final double REMOTE_DATA_CENTRE_COST = 0.9;
 
+  /**
+   * Time after a standstill of this process in which any upstream may be cold without its
+   * knowledge, in milliseconds; enough to read the registrations.
+   */
+  private static final long RELEARN_MILLIS = 1_500;
+
   private final Catalog catalog;
   private final DataCentreId localDataCentre;
   private final Random random;
@@ -37,6 +43,7 @@
   private final Map<UpstreamId, Long> unreachableUntil = new HashMap<>();
   private final Map<ServiceId, KeyOwnerCache> owners = new HashMap<>();
   private final ColdAllowance coldAllowance;
+  private long relearnedMillis = Long.MIN_VALUE;
 
   LocalUpstreamSelector(Catalog catalog, DataCentreId localDataCentre, Random random) {
     this.catalog = catalog;
@@ -55,6 +62,11 @@
     return owners.computeIfAbsent(service, id -> KeyOwnerCache.empty());
   }
 
+  /** Records that this process continues after it stood still. */
+  void resumed(long nowMillis) {
+    relearnedMillis = nowMillis + RELEARN_MILLIS;
+  }
+
   void attemptStarted(UpstreamId upstream) {
     runningCounts.merge(upstream, 1, Integer::sum);
   }
@@ -127,16 +139,20 @@
     if (runningCounts.getOrDefault(entry.id(), 0) >= entry.slots()) {
       return false;
     }
-    if (!entry.cold(nowMillis)) {
+    if (!maybeCold(nowMillis, entry)) {
       return true;
     }
     double coldPerSecond = catalog.coldRequestsPerSecond(entry.service());
     return coldPerSecond <= 0 || coldAllowance.canSend(nowMillis, entry, coldPerSecond);
   }
 
+  private boolean maybeCold(long nowMillis, UpstreamRegistration entry) {
+    return entry.cold(nowMillis) || nowMillis < relearnedMillis;
+  }
+
   private UpstreamRegistration recordColdSend(long nowMillis, UpstreamRegistration entry) {
     double coldPerSecond = catalog.coldRequestsPerSecond(entry.service());
-    if (entry.cold(nowMillis) && coldPerSecond > 0) {
+    if (maybeCold(nowMillis, entry) && coldPerSecond > 0) {
       coldAllowance.recordSend(nowMillis, entry, coldPerSecond);
     }
     return entry;
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -237,6 +237,12 @@
     return localSelector.coldAllowance();
   }
 
+  /** Records that this process continues after it stood still. */
+  public void resumed(long nowMillis) {
+    slotRequests.resumed(nowMillis);
+    localSelector.resumed(nowMillis);
+  }
+
   /** Returns the known key owners of a service, as a mutable object. */
   public KeyOwnerCache owners(ServiceId service) {
     return localSelector.owners(service);
@@ -427,8 +433,9 @@
     Optional<UpstreamRegistration> entry = catalog.upstream(upstream).filter(catalog::usable);
     long closedMillis =
         entry.map(usable -> notices.closures().closedMillis(nowMillis, usable)).orElse(0L);
+    boolean outdated = slotRequests.outdated(request);
     request.decidedByCoordinator = entry.isPresent();
-    if (entry.isPresent() && closedMillis == 0) {
+    if (entry.isPresent() && closedMillis == 0 && !outdated) {
       request.fencingToken = fencingToken;
       send(nowMillis, request, entry.get());
       return;
@@ -437,8 +444,10 @@
     if (entry.isEmpty()) {
       request.excludedUpstreams.add(upstream);
       retryNotRun(nowMillis, request, true);
-    } else {
+    } else if (closedMillis > 0) {
       turnAway(nowMillis, request, closedMillis);
+    } else {
+      requestSlot(nowMillis, request);
     }
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/SlotRequests.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/SlotRequests.java
@@ -14,6 +14,7 @@
   private final ColdAllowance coldAllowance;
   private final List<RequestEffect> effects;
   private long nextNumber = 1;
+  private long resumedMillis = Long.MIN_VALUE;
 
   /**
    * Creates an empty collection.
@@ -70,4 +71,18 @@
       effects.add(new RequestEffect.CancelSlotRequest(request.slotRequestNumber));
     }
   }
+
+  /** Records that this process continues after it stood still. */
+  void resumed(long nowMillis) {
+    resumedMillis = nowMillis;
+  }
+
+  /**
+   * Returns whether the slot of a request must not be used. While this process stood still, grants
+   * of many seconds may have waited for it and for other hosts; an upstream that is cold, or became
+   * so meanwhile, can't bear them at once.
+   */
+  boolean outdated(InFlightRequest request) {
+    return request.slotRequestedMillis < resumedMillis;
+  }
 }
