--- a/wire/src/main/java/dev/hornbeamwheel/wire/ColdLeaseMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/ColdLeaseMapping.java
@@ -17,14 +17,12 @@
         .build();
   }
 
-  static ColdLease fromProto(ColdLeaseBody body) {
-    return new ColdLease(body.getAsk(), Set.copyOf(body.getPartitionsList()));
+  static ColdLeaseRequestBody toProto(ColdLeaseRequest request) {
+    return ColdLeaseRequestBody.newBuilder().addAllHeldPartitions(request.heldPartitions()).build();
   }
 
-  static ColdLeaseRequestBody toProto(ColdLeaseRequest request) {
-    return ColdLeaseRequestBody.newBuilder()
-        .addAllHeldPartitions(request.heldPartitions())
-        .build();
+  static ColdLease fromProto(ColdLeaseBody body) {
+    return new ColdLease(body.getAsk(), Set.copyOf(body.getPartitionsList()));
   }
 
   static ColdLeaseRequest fromProto(ColdLeaseRequestBody body) {
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostLinks.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostLinks.java
@@ -174,7 +174,10 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes)
         throws IOException, MalformedMessageException {
-      received(HostMessageMapping.fromProto(HostFrame.parseFrom(ByteBufUtil.getBytes(bytes))));
+      HostFrame frame = HostFrame.parseFrom(ByteBufUtil.getBytes(bytes));
+      if (HostMessageMapping.known(frame)) {
+        received(HostMessageMapping.fromProto(frame));
+      }
     }
 
     @Override
--- a/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
+++ b/wire/src/main/java/dev/hornbeamwheel/wire/HostMessageMapping.java
@@ -94,6 +94,11 @@
     }
   }
 
+  /** Returns whether a frame holds a message; false for a kind that a later build has added. */
+  static boolean known(HostFrame frame) {
+    return frame.getBodyCase() != HostFrame.BodyCase.BODY_NOT_SET;
+  }
+
   /**
    * Returns the message of a frame.
    *
@@ -114,8 +119,7 @@
                 frame.getRefuse().getAsk(),
                 frame.getRefuse().getRetryAfterMillis(),
                 frame.getRefuse().getReason());
-        case HEARTBEAT ->
-            heartbeat(frame.getHeartbeat());
+        case HEARTBEAT -> heartbeat(frame.getHeartbeat());
         case CANCEL -> new HostMessage.Cancel(frame.getCancel().getAsk());
         case HOLD ->
             new HostMessage.SlotInUse(
@@ -192,8 +196,7 @@
   private static AskBody ask(HostMessage.SlotRequest ask) {
     AskBody.Builder body = AskBody.newBuilder();
     ask.coldLeaseRequest().map(ColdLeaseMapping::toProto).ifPresent(body::setColdLeaseRequest);
-    return body
-        .setAsk(ask.requestNumber())
+    return body.setAsk(ask.requestNumber())
         .setService(ask.service().value())
         .setKeyPlusOne(keyPlusOne(ask.key()))
         .setPriority(ask.priority())
