--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -227,8 +227,9 @@
   }
 
   /** Records a heartbeat of the coordinator. */
-  public void heartbeatReceived(long nowMillis, long term) {
+  public void heartbeatReceived(long nowMillis, long term, int connectedHosts) {
     coordinator.heartbeatReceived(nowMillis);
+    retryPolicy.updateHostCount(connectedHosts);
     responses.log().heartbeatReceived(nowMillis, term);
   }
 
--- a/host/src/test/java/dev/hornbeamwheel/host/CoordinatorLoadTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/CoordinatorLoadTest.java
@@ -31,7 +31,9 @@
   void countsOnlyTheCurrentPeriod() {
     load.recordSent(new HostMessage.KeyMap(ServiceId.of("ledger"), Map.of()), 500);
     load.recordSent(
-        new HostMessage.Heartbeat(3, true, 2, HostCapacity.unknown(), false, List.of(), Optional.empty()), 20);
+        new HostMessage.Heartbeat(
+            3, true, 2, HostCapacity.unknown(), false, List.of(), Optional.empty()),
+        20);
     Map<String, Object> first = endPeriod(new CoordinatorStatistics(3, 2, 100, 90, 4, 30, 6));
     Map<String, Object> second = endPeriod(new CoordinatorStatistics(3, 2, 150, 140, 5, 40, 5));
 
