--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -41,12 +41,6 @@
   /** Time after a handover in which no host hands over the lease again, in milliseconds. */
   static final long HANDOVER_COOLDOWN_MILLIS = 60_000;
 
-  /**
-   * Time without any event, not even a tick, after which this process is known to have stood still,
-   * in milliseconds.
-   */
-  static final long STANDSTILL_MILLIS = 400;
-
   /** Delay before the next attempt to connect to the coordinator, in milliseconds. */
   static final long RECONNECT_DELAY_MILLIS = 300;
 
@@ -68,7 +62,7 @@
   private boolean connected;
   private boolean connecting;
   private long reconnectAtMillis;
-  private long lastEventMillis = Long.MIN_VALUE / 2;
+  private final StandstillDetector standstill = new StandstillDetector();
   private final CoordinatorSilence silence = new CoordinatorSilence();
   private final CoordinatorWatch coordinatorWatch;
   private HostCapacity bestCapacity = HostCapacity.unknown();
@@ -133,10 +127,9 @@
 
   private void apply(HostEvent event) {
     long now = event.atMillis();
-    if (now - lastEventMillis > STANDSTILL_MILLIS) {
+    if (standstill.resumedAt(now)) {
       requestFlow.resumed(now);
     }
-    lastEventMillis = now;
     if (event instanceof HostEvent.RequestArrived arrived) {
       performRequests(now, requestFlow.requestArrived(now, arrived.request(), arrived.head()));
     } else if (event instanceof HostEvent.AttemptEnded ended) {
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/ColdFleet.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/ColdFleet.java
@@ -63,6 +63,9 @@
   private final Map<UpstreamId, List<Long>> coldSendMillis = new HashMap<>();
   private final List<Run> runs = new ArrayList<>();
 
+  /** Number of requests that were sent to any upstream. */
+  int sends;
+
   /** Requests whose callers do not return any more. */
   private final Set<RequestRef> retried = new HashSet<>();
 
@@ -192,6 +195,7 @@
     }
     if (effect instanceof RequestEffect.Send send) {
       long now = simulation.nowMillis();
+      sends++;
       runs.add(new Run(host, send.request(), now + RUN_MILLIS));
       if (now < coldUntilMillis.getOrDefault(send.upstream().id(), 0L)) {
         coldSendMillis.computeIfAbsent(send.upstream().id(), id -> new ArrayList<>()).add(now);
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/ColdUpstreamFleetTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/ColdUpstreamFleetTest.java
@@ -140,4 +140,18 @@
     assertThat((double) fleet.coldSends(from, from + ColdFleet.COLD_MILLIS))
         .isGreaterThanOrEqualTo(NEAR * atTheirRate);
   }
+
+  /** Guards against hosts that refuse what they could serve because they have just started. */
+  @ParameterizedTest
+  @CsvSource({"61, 20", "62, 95"})
+  void hostsThatHaveJustStartedUseWarmUpstreams(long seed, int hosts) {
+    ColdFleet fleet = settledFleet(seed, hosts);
+
+    fleet.simulation.storeAvailable = false;
+    List.copyOf(fleet.simulation.runningHosts()).forEach(fleet.simulation::restart);
+    int sendsBefore = fleet.sends;
+    fleet.run(1_000);
+
+    assertThat(fleet.sends - sendsBefore).isGreaterThanOrEqualTo(REQUESTS_PER_SECOND / 2);
+  }
 }
