--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -372,7 +372,7 @@
       if (handingOver) {
         handoverAtMillis = now + HANDOVER_COOLDOWN_MILLIS;
       }
-      requestFlow.heartbeatReceived(now, heartbeat.term(), heartbeat.connectedHosts());
+      requestFlow.heartbeatReceived(now, heartbeat.term());
       heartbeat.coldLease().ifPresent(cold -> requestFlow.coldAllowance().granted(now, cold));
     } else if (message instanceof HostMessage.KeyMap map) {
       requestFlow.owners(map.service()).replaceAll(map.ownersByFirstKey());
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -227,9 +227,8 @@
   }
 
   /** Records a heartbeat of the coordinator. */
-  public void heartbeatReceived(long nowMillis, long term, int connectedHosts) {
+  public void heartbeatReceived(long nowMillis, long term) {
     coordinator.heartbeatReceived(nowMillis);
-    retryPolicy.updateHostCount(connectedHosts);
     responses.log().heartbeatReceived(nowMillis, term);
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RetryPolicy.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RetryPolicy.java
@@ -13,11 +13,6 @@
 
   private final RetryBudget budget = new RetryBudget();
 
-  /** Takes over the number of hosts that are connected to the coordinator. */
-  void updateHostCount(int connectedHosts) {
-    budget.updateHostCount(connectedHosts);
-  }
-
   /** Counts a new request, which earns its service a part of a retry. */
   void requestArrived(ServiceId service) {
     budget.addTokens(service);
