--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -35,10 +35,16 @@
     return time.monotonic() - START
 
 
+GIVEN_PORTS = set()
+
+
 def free_port():
     """A port that is free now, below those that the system gives to outgoing connections."""
     while True:
         port = random.randint(20000, 30000)
+        if port in GIVEN_PORTS:
+            continue
+        GIVEN_PORTS.add(port)
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
