--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -598,6 +598,9 @@
         record.write([f"TROUBLE={int(TROUBLE)}", "could not run: not done after 110 s", "exit 2"])
         os._exit(2)
 
+    # A signal that ends this script ends the host programs, too.
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: (end(), os._exit(2)))
     watchdog = threading.Timer(110, give_up)
     watchdog.daemon = True
     watchdog.start()
