Have a stopping host follow the next coordinator, and release its lease at once

The other hypotheses don't fit: the release was not late, and the links of the peers were cut once they knew the next one.

Change: a stopping host looks for the holder of the lease, every 200 ms, without taking it; it resigns and joins the next coordinator like any other host. The release is announced as a hand-over, so the others read the row at once. A release waits for a call that is under way and is repeated until the row has expired; a lease that is won after the signal is released, too, and hosts that connected for it are turned away. A stopping host names no capacity, so none hands the lease over to it. What concerns the capacities of hosts moved out of HostNode (LeaseCandidacy). New log line: lease-released.

Without the watch of a stopping host StoppingHostTest.aStoppingCoordinatorHasItsKeyedRequestsServedByTheNextOne is red.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
@@ -42,9 +42,15 @@
   /** Delay before an acquisition is retried after a failed read, in milliseconds. */
   private static final long ACQUIRE_RETRY_MILLIS = 700;
 
-  /** Interval at which a host reads the lease row during its acquire delay, in milliseconds. */
+  /**
+   * Interval at which a host reads the lease row during its acquire delay, or while it stops, in
+   * milliseconds.
+   */
   private static final long ACQUIRE_DELAY_POLL_MILLIS = 200;
 
+  /** Delay before a failed release is retried, in milliseconds. */
+  private static final long RELEASE_RETRY_MILLIS = 100;
+
   /**
    * Maximum transit time of a call to the store, in milliseconds: the time after which it is given
    * up. A holder's reading of the store's clock is ahead by at most as much.
@@ -69,6 +75,8 @@
 
   private boolean leader;
   private boolean releasing;
+  private boolean releaseDue;
+  private long nextReleaseMillis;
   private long term;
   private long heldTerm;
   private StoreVersion version = StoreVersion.ofEraZero(0);
@@ -79,6 +87,7 @@
   private long storeRequestMillis;
   private long storeResponseMillis;
   private long pendingCallMillis = -1;
+  private boolean pendingWrite;
   private boolean writeInDoubt;
   private LeaseRow pendingRow;
   private long nextRenewMillis;
@@ -128,7 +137,7 @@
 
   /**
    * Starts to acquire the lease as soon as it has expired. Called while no working coordinator is
-   * known.
+   * known. After {@link #release} it only looks for the next holder.
    */
   public List<LeaseEffect> acquire(long nowMillis) {
     return acquire(nowMillis, 0);
@@ -142,7 +151,7 @@
    */
   public List<LeaseEffect> acquire(long nowMillis, long acquireDelay) {
     updateAcquireDelay(acquireDelay);
-    if (!acquiring && !leader && !releasing) {
+    if (!acquiring && !leader) {
       acquiring = true;
       nextAcquireMillis =
           Math.max(nextAcquireMillis, nowMillis + random.nextInt(ACQUIRE_JITTER_MILLIS));
@@ -186,32 +195,55 @@
     if (pendingCallMillis >= 0) {
       return drainEffects();
     }
-    if (leader && nowMillis >= nextRenewMillis && writeInDoubt) {
-      pendingCallMillis = nowMillis;
-      effects.add(new LeaseEffect.Read());
+    if (releaseDue) {
+      continueRelease(nowMillis);
+    } else if (leader && nowMillis >= nextRenewMillis && writeInDoubt) {
+      read(nowMillis);
     } else if (leader && nowMillis >= nextRenewMillis) {
       write(nowMillis, row(newExpiryStoreMillis(nowMillis)));
     } else if (!leader && acquiring && nowMillis >= nextAcquireMillis) {
-      pendingCallMillis = nowMillis;
-      effects.add(new LeaseEffect.Read());
+      read(nowMillis);
     }
     return drainEffects();
   }
 
   /**
    * Releases the lease, so that another host can acquire it immediately. This host never acquires
-   * it again.
+   * it again, not even by a write that is under way.
+   *
+   * <p>{@link LeaseEffect.HandedOver} follows once the row of this host has certainly expired.
    */
   public List<LeaseEffect> release(long nowMillis) {
+    if (releasing) {
+      return drainEffects();
+    }
     releasing = true;
     acquiring = false;
+    // The outcome of a write that is under way may stay unknown.
+    termAbandoned = true;
+    releaseDue = leader || pendingWrite || writeInDoubt;
     if (leader) {
       loseLease("this host is stopping");
-      write(nowMillis, expiredRow(nowMillis));
+    }
+    if (pendingCallMillis < 0) {
+      continueRelease(nowMillis);
     }
     return drainEffects();
   }
 
+  /** Makes the next call to the store that the release needs, unless it must wait for a retry. */
+  private void continueRelease(long nowMillis) {
+    if (!releaseDue || nowMillis < nextReleaseMillis) {
+      return;
+    }
+    if (writeInDoubt) {
+      read(nowMillis);
+    } else {
+      handingOver = true;
+      write(nowMillis, expiredRow(nowMillis));
+    }
+  }
+
   /**
    * Releases the lease in favour of a host with more capacity; does nothing while a call to the
    * store is pending or the outcome of a write is unknown.
@@ -245,7 +277,7 @@
   public List<LeaseEffect> readCompleted(long nowMillis, LeaseRead read) {
     long requestMillis = pendingCallMillis;
     pendingCallMillis = -1;
-    if (requestMillis < 0 || releasing) {
+    if (requestMillis < 0) {
       return drainEffects();
     }
     if (read.version().era() < version.era()) {
@@ -254,6 +286,10 @@
     }
     writeInDoubt = false;
     read.row().map(LeaseRow::fleetSize).ifPresent(this::updateFleetSize);
+    if (releaseDue) {
+      releaseRead(nowMillis, read);
+      return drainEffects();
+    }
     Optional<LeaseRow> ownRow =
         read.row()
             .filter(row -> !read.outdated())
@@ -276,6 +312,29 @@
     return drainEffects();
   }
 
+  /** Goes on with the release after a read that resolved which row is stored. */
+  private void releaseRead(long nowMillis, LeaseRead read) {
+    version = read.version();
+    boolean held =
+        read.row()
+            .filter(row -> !read.outdated())
+            .filter(this::isOwnRow)
+            .filter(row -> row.validUntilStoreMillis() >= read.storeMillis())
+            .isPresent();
+    if (held) {
+      storeMillis = read.storeMillis();
+      storeResponseMillis = nowMillis;
+      continueRelease(nowMillis);
+    } else {
+      released();
+    }
+  }
+
+  private void released() {
+    releaseDue = false;
+    effects.add(new LeaseEffect.HandedOver(term));
+  }
+
   private boolean isOwnRow(LeaseRow row) {
     return row.holder().equals(self) && row.term() == term && row.address().equals(address);
   }
@@ -285,6 +344,10 @@
     storeRequestMillis = requestMillis;
     storeResponseMillis = nowMillis;
     long remainingMillis = remainingMillis(read);
+    if (releasing) {
+      lookForHolder(nowMillis, read, remainingMillis);
+      return;
+    }
     if (remainingMillis < 0 && remainingMillis + acquireDelayMillis >= 0) {
       long pollMillis =
           Math.min(remainingMillis + acquireDelayMillis + 1, ACQUIRE_DELAY_POLL_MILLIS);
@@ -307,6 +370,14 @@
     write(nowMillis, row(newExpiryStoreMillis(nowMillis)));
   }
 
+  private void lookForHolder(long nowMillis, LeaseRead read, long remainingMillis) {
+    nextAcquireMillis =
+        nowMillis + ACQUIRE_DELAY_POLL_MILLIS + random.nextInt(ACQUIRE_JITTER_MILLIS);
+    if (remainingMillis >= 0 && !read.outdated()) {
+      effects.add(new LeaseEffect.HeldByOther(read.row().orElseThrow()));
+    }
+  }
+
   /** Returns the time until the lease may be acquired, in milliseconds; negative if it has come. */
   private long remainingMillis(LeaseRead read) {
     if (!read.outdated()) {
@@ -356,6 +427,7 @@
   public void readFailed(long nowMillis) {
     pendingCallMillis = -1;
     nextRenewMillis = nowMillis + RENEW_RETRY_MILLIS;
+    nextReleaseMillis = nowMillis + RELEASE_RETRY_MILLIS;
     nextAcquireMillis = nowMillis + ACQUIRE_RETRY_MILLIS + random.nextInt(ACQUIRE_JITTER_MILLIS);
   }
 
@@ -366,6 +438,7 @@
     }
     long requestMillis = pendingCallMillis;
     pendingCallMillis = -1;
+    pendingWrite = false;
     // A write that was applied in another era may be lost, or may have replaced another row.
     if (result instanceof LeaseWrite.Written written && written.version().era() == version.era()) {
       applyWrite(nowMillis, requestMillis, written);
@@ -374,8 +447,10 @@
       // The write may have been applied even without a response; the next read resolves it.
       writeInDoubt = !(result instanceof LeaseWrite.NotApplied);
       nextRenewMillis = nowMillis + RENEW_RETRY_MILLIS;
+      nextReleaseMillis = nowMillis + RELEASE_RETRY_MILLIS;
       nextAcquireMillis = nowMillis + random.nextInt(ACQUIRE_JITTER_MILLIS);
     }
+    continueRelease(nowMillis);
     return drainEffects();
   }
 
@@ -383,14 +458,20 @@
     version = written.version();
     if (handingOver) {
       handingOver = false;
-      effects.add(new LeaseEffect.HandedOver(term));
+      released();
     } else if (!releasing) {
       applyOwnRow(nowMillis, requestMillis, written.storeMillis(), pendingRow);
     }
   }
 
+  private void read(long nowMillis) {
+    pendingCallMillis = nowMillis;
+    effects.add(new LeaseEffect.Read());
+  }
+
   private void write(long nowMillis, LeaseRow row) {
     pendingCallMillis = nowMillis;
+    pendingWrite = true;
     pendingRow = row;
     effects.add(new LeaseEffect.Write(row, version));
   }
--- a/core/src/main/java/dev/hornbeamwheel/core/host/lease/LeaseEffect.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/lease/LeaseEffect.java
@@ -26,7 +26,8 @@
   record Continued(long term) implements LeaseEffect {}
 
   /**
-   * This host released the lease in favour of a host with more capacity, and the row is written.
+   * This host released the lease, since it stops or a host with more capacity is to take over; any
+   * row that it wrote has expired.
    */
   record HandedOver(long term) implements LeaseEffect {}
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/ConnectedHosts.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/ConnectedHosts.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** The hosts that are connected to the coordinator, including its own. */
 final class ConnectedHosts {
@@ -54,7 +55,15 @@
 
   /** Returns the greatest capacity among all connected hosts, or unknown if there is none. */
   HostCapacity bestCapacity() {
-    return bestCapacityConnectedBefore(Long.MAX_VALUE);
+    return best(hosts.values().stream());
+  }
+
+  /** Returns the greatest capacity among all connected hosts but one. */
+  HostCapacity bestCapacityBeside(LinkId excluded) {
+    return best(
+        hosts.entrySet().stream()
+            .filter(host -> !host.getKey().equals(excluded))
+            .map(Map.Entry::getValue));
   }
 
   /**
@@ -62,12 +71,12 @@
    * #STABLE_CONNECTION_MILLIS}, or unknown if there is none.
    */
   HostCapacity bestStableCapacity(long nowMillis) {
-    return bestCapacityConnectedBefore(nowMillis - STABLE_CONNECTION_MILLIS);
+    long limitMillis = nowMillis - STABLE_CONNECTION_MILLIS;
+    return best(hosts.values().stream().filter(host -> host.connectedMillis() <= limitMillis));
   }
 
-  private HostCapacity bestCapacityConnectedBefore(long limitMillis) {
-    return hosts.values().stream()
-        .filter(host -> host.connectedMillis() <= limitMillis)
+  private static HostCapacity best(Stream<Host> candidates) {
+    return candidates
         .map(Host::capacity)
         .max(Comparator.naturalOrder())
         .orElse(HostCapacity.unknown());
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -56,6 +56,7 @@
   private final LimitPublisher limitPublisher;
   private final TablePublisher tablePublisher = new TablePublisher(this::sendToHost);
   private final List<HostEffect> pendingEffects = new ArrayList<>();
+  private final LongPredicate holdsLease;
   private final long termStartMillis;
   private long leaseTerm;
   private Function<ServiceId, KeyOwnerCache> toldOwners = service -> KeyOwnerCache.empty();
@@ -95,6 +96,7 @@
             catalog, new KeyOwners(keyedServices), holdsLease, self.minLearnedSlots());
     this.hostLeases = new HostLeases(nowMillis, connectedHosts, broker, holdsLease);
     this.limitPublisher = new LimitPublisher(nowMillis);
+    this.holdsLease = holdsLease;
     this.nowMillis = nowMillis;
     this.termStartMillis = nowMillis;
   }
@@ -161,7 +163,7 @@
     if (message instanceof HostMessage.Hello hello) {
       connectedHosts.add(now, link, hello);
       keyMapPublishers.values().forEach(publisher -> publisher.addHost(link));
-      sendToHost(link, heartbeat(true));
+      sendToHost(link, heartbeat(holdsLease.test(now)));
       limitPublisher.hostConnected(link, this::sendToHost);
       if (!link.equals(HostNode.LOCAL_LINK)) {
         tablePublisher.hostConnected(link);
@@ -234,9 +236,7 @@
         && keyedServices.values().stream().allMatch(KeyedService::stable);
   }
 
-  /**
-   * Informs all hosts that the lease was given up for a stronger host; no key changes afterwards.
-   */
+  /** Informs all hosts that the lease was given up for another host; no key changes afterwards. */
   List<HostEffect> handedOver() {
     handedOver = true;
     HostMessage heartbeat = heartbeat(false);
@@ -462,7 +462,9 @@
         leaseTerm,
         leaseHeld && !handedOver,
         connectedHosts.size(),
-        connectedHosts.bestCapacity(),
+        handedOver
+            ? connectedHosts.bestCapacityBeside(HostNode.LOCAL_LINK)
+            : connectedHosts.bestCapacity(),
         handedOver,
         tablePublisher.confirmations(nowMillis),
         renewed.coldLease(),
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostMessage.java
@@ -125,7 +125,7 @@
    *
    * @param leaseHeld whether the coordinator holds the lease
    * @param connectedHosts number of hosts connected to it, including its own
-   * @param bestCapacity greatest capacity among them
+   * @param bestCapacity greatest capacity among them; without its own if it is handing over
    * @param handingOver whether the coordinator gave up the lease for a host of about that capacity
    * @param confirmations what the coordinator knows of the store's tables
    * @param coldLease lease on cold upstreams that this host has asked for
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -33,12 +33,6 @@
   /** Link on which the coordinator's own host is connected to it. */
   static final LinkId LOCAL_LINK = new LinkId(0);
 
-  /** Time for which a clearly weaker host leaves an expired lease to others, in milliseconds. */
-  static final long WEAK_HOST_DELAY_MILLIS = 600;
-
-  /** Time after a handover in which no host hands over the lease again, in milliseconds. */
-  static final long HANDOVER_COOLDOWN_MILLIS = 60_000;
-
   /** Delay before the next attempt to connect to the coordinator, in milliseconds. */
   static final long RECONNECT_DELAY_MILLIS = 300;
 
@@ -63,14 +57,13 @@
   private final StandstillDetector standstill = new StandstillDetector();
   private final CoordinatorSilence silence = new CoordinatorSilence();
   private final CoordinatorWatch coordinatorWatch;
-  private HostCapacity bestCapacity = HostCapacity.unknown();
-  private boolean handingOver;
-  private long handoverAtMillis;
+  private final LeaseCandidacy candidacy;
   private boolean stopping;
 
   private HostNode(HostIdentity self) {
     this.self = self;
     this.coordinatorWatch = new CoordinatorWatch(self.seed());
+    this.candidacy = new LeaseCandidacy(self.capacity());
     this.lease = CoordinatorLease.create(self.host(), self.address(), self.seed());
     this.requestFlow =
         RequestFlow.create(
@@ -186,6 +179,9 @@
       dispatch(now, coordinator.get().receive(now, received.link(), received.message()));
     } else if (received.message() instanceof HostMessage.Hello) {
       pendingHellos.put(received.link(), received.message());
+      if (stopping) {
+        turnHostsAway();
+      }
     }
   }
 
@@ -203,15 +199,13 @@
       coordinator.ifPresent(Coordinator::catalogChanged);
     }
     performLease(now, lease.tick(now));
-    if (!stopping) {
-      watchCoordinator(now);
-    }
+    watchCoordinator(now);
     boolean leased = lease.isLeader(now);
     coordinator.ifPresent(c -> dispatch(now, c.tick(now, leased, lease.renewalOverdue(now))));
     boolean mayHandOver =
         leased
             && !stopping
-            && now >= handoverAtMillis
+            && candidacy.handoverAllowed(now)
             && !lease.renewalOverdue(now)
             && catalog.loaded();
     if (mayHandOver && coordinator.filter(c -> c.shouldHandOver(now)).isPresent()) {
@@ -220,15 +214,16 @@
     performRequests(now, requestFlow.tick(now));
   }
 
+  /** Looks for the next coordinator if this one may not stay; a stopping host only follows it. */
   private void watchCoordinator(long now) {
-    boolean strong = !self.capacity().isUnknown() && !self.capacity().isMuchLowerThan(bestCapacity);
-    boolean offeredLease = handingOver && (strong || coordinator.isPresent());
-    if (knownLease.isEmpty() || !connected || silence.tooLong(now) || offeredLease) {
-      performLease(now, lease.acquire(now, leaseClaimDelayMillis()));
+    boolean local = coordinator.isPresent();
+    boolean leaving = local && (stopping || candidacy.offered());
+    boolean mayTakeOffer = candidacy.mayTakeOffer();
+    if (knownLease.isEmpty() || !connected || silence.tooLong(now) || leaving || mayTakeOffer) {
+      performLease(now, lease.acquire(now, candidacy.claimDelayMillis()));
     } else {
       lease.cancelAcquire();
     }
-    boolean local = coordinator.isPresent();
     if (knownLease.isPresent() && !local && !connected && !connecting && now >= reconnectAtMillis) {
       connecting = true;
       reconnectAtMillis = now + RECONNECT_DELAY_MILLIS;
@@ -238,23 +233,19 @@
 
   private void leaseRead(long now, LeaseRead read) {
     read.row().map(LeaseRow::fleetSize).ifPresent(requestFlow.shares()::fleetSizeRead);
-    if (bestCapacity.isUnknown()) {
+    if (candidacy.best().isUnknown()) {
       // Before its first heartbeat a host learns from the row whether a stronger host exists.
       read.row().map(LeaseRow::bestCapacity).ifPresent(this::updateBestCapacity);
-      lease.updateAcquireDelay(leaseClaimDelayMillis());
+      lease.updateAcquireDelay(candidacy.claimDelayMillis());
     }
     performLease(now, lease.readCompleted(now, read));
   }
 
   private void updateBestCapacity(HostCapacity capacity) {
-    bestCapacity = capacity;
+    candidacy.bestCapacityReported(capacity);
     lease.updateBestCapacity(capacity);
   }
 
-  private long leaseClaimDelayMillis() {
-    return self.capacity().isMuchLowerThan(bestCapacity) ? WEAK_HOST_DELAY_MILLIS : 0;
-  }
-
   private void followCoordinator(long now, LeaseRow row) {
     // A row that an earlier process of this host wrote names a coordinator that no longer runs.
     if (row.term() <= knownTerm() || row.address().equals(self.address())) {
@@ -267,7 +258,7 @@
     }
     resign(now);
     disconnect(now);
-    handingOver = false;
+    candidacy.offerEnded();
     silence.restarted(now);
     reconnectAtMillis = now;
   }
@@ -305,8 +296,8 @@
     coordinatorWatch.connectionEnded();
     connected = true;
     silence.restarted(now);
-    handingOver = false;
-    sendToCoordinator(now, new HostMessage.Hello(self.host(), self.dataCentre(), self.capacity()));
+    candidacy.offerEnded();
+    sendToCoordinator(now, hello());
     if (coordinator.isEmpty()) {
       knowledge.all(now).forEach(message -> sendToCoordinator(now, message));
     }
@@ -314,6 +305,12 @@
     log(LogEntry.of("coordinator-joined").with("term", knownTerm()));
   }
 
+  /** Introduces this host; while it stops, no coordinator should hand over the lease to it. */
+  private HostMessage.Hello hello() {
+    HostCapacity capacity = stopping ? HostCapacity.unknown() : self.capacity();
+    return new HostMessage.Hello(self.host(), self.dataCentre(), capacity);
+  }
+
   private void coordinatorDisconnected(long now, long term) {
     if (coordinator.isPresent() || term != knownTerm()) {
       return;
@@ -341,10 +338,7 @@
       }
       updateBestCapacity(heartbeat.bestCapacity());
       coordinator.ifPresent(c -> lease.updateFleetSize(c.fleetSize(now)));
-      handingOver = heartbeat.handingOver();
-      if (handingOver) {
-        handoverAtMillis = now + HANDOVER_COOLDOWN_MILLIS;
-      }
+      candidacy.offerReported(now, heartbeat.handingOver());
       requestFlow.heartbeatReceived(now, heartbeat.term(), heartbeat.connectedHosts());
       heartbeat.coldLease().ifPresent(cold -> requestFlow.coldAllowance().granted(now, cold));
       heartbeat.shareLease().ifPresent(requestFlow.shares()::granted);
@@ -377,6 +371,7 @@
           } else if (effect instanceof LeaseEffect.HeldByOther held) {
             followCoordinator(now, held.row());
           } else if (effect instanceof LeaseEffect.HandedOver handedOver) {
+            log(LogEntry.of("lease-released").with("term", handedOver.term()));
             holderOf(handedOver.term()).ifPresent(c -> dispatch(now, c.handedOver()));
           } else if (effect instanceof LeaseEffect.Lost lost) {
             log(LeaseLog.lost(lost));
@@ -404,7 +399,7 @@
   }
 
   private LeaseRow ownLease(long term) {
-    return new LeaseRow(term, self.host(), self.address(), 0, bestCapacity, 0);
+    return new LeaseRow(term, self.host(), self.address(), 0, candidacy.best(), 0);
   }
 
   private void stop(long now) {
@@ -416,6 +411,18 @@
             .with("coordinating", coordinator.isPresent() ? 1 : 0)
             .with("term", knownTerm()));
     performLease(now, lease.release(now));
+    if (coordinator.isEmpty() && connected) {
+      sendToCoordinator(now, hello());
+    }
+    if (!pendingHellos.isEmpty()) {
+      turnHostsAway();
+    }
+  }
+
+  /** Disconnects the hosts that wait for a term of this host which will not begin. */
+  private void turnHostsAway() {
+    pendingHellos.clear();
+    pendingEffects.add(new HostEffect.DisconnectHosts());
   }
 
   private Optional<Coordinator> coordinatorOf(long term) {
--- a/core/src/test/java/dev/hornbeamwheel/core/host/lease/CoordinatorLeaseTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/lease/CoordinatorLeaseTest.java
@@ -21,6 +21,9 @@
   /** At most two acquisition attempts and their store calls. */
   private static final long MAX_HAND_OVER_MILLIS = 400;
 
+  /** The store calls of a renewal and of the release after it. */
+  private static final long MAX_RELEASE_MILLIS = 50;
+
   @Property(tries = 60, seed = "2026120401")
   void atMostOneHostHoldsTheLeaseDespiteLostResponsesAndSuspensions(
       @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
@@ -183,4 +186,32 @@
         .singleElement()
         .matches(effect -> ((LeaseEffect.Write) effect).row().fleetSize() == 20);
   }
+
+  // Guards against a host that stops and uses the lease again, or another one's, when a call that
+  // was under way ends.
+  @Property(tries = 100, seed = "2026120701")
+  void atMostOneHostHoldsTheLeaseWhileHostsStop(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    LeaseWorld simulation =
+        new LeaseWorld(30, seed, 0.3).withHandOvers(0.0005, 600).withStops(0.0002);
+
+    assertThat(simulation.run(RUN_MILLIS)).isLessThanOrEqualTo(1);
+    assertThat(simulation.termsOfTwoHosts).isZero();
+  }
+
+  // Guards against a lease that stays held until it expires, as it was released while a renewal was
+  // under way: the release lost against the renewal.
+  @Test
+  void aLeaseThatIsReleasedDuringARenewalIsFreeSoon() {
+    LeaseWorld simulation = new LeaseWorld(5, 7, 0);
+    simulation.run(5_000);
+    while (!simulation.leaderCalls()) {
+      simulation.run(5);
+    }
+    simulation.stopLeader();
+
+    simulation.run(MAX_RELEASE_MILLIS);
+
+    assertThat(simulation.leaseFree()).isTrue();
+  }
 }
--- a/core/src/test/java/dev/hornbeamwheel/core/host/lease/LeaseWorld.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/lease/LeaseWorld.java
@@ -29,6 +29,8 @@
     private final CoordinatorLease lease;
     private final int index;
     private long suspendedUntil;
+    private boolean stopping;
+    private int calls;
 
     private Host(int index) {
       this.index = index;
@@ -62,6 +64,7 @@
   private long nextSequence;
   private boolean storeUnavailable;
   private double handOverRate;
+  private double stopRate;
   private long acquireDelayMillis;
   int acquisitions;
   int restores;
@@ -120,6 +123,36 @@
     storeUnavailable = unavailable;
   }
 
+  /** Adds stops of random hosts, each of which another host replaces later. */
+  LeaseWorld withStops(double rate) {
+    stopRate = rate;
+    return this;
+  }
+
+  /** Returns whether a call of the leader to the store is under way. */
+  boolean leaderCalls() {
+    return leader().calls > 0;
+  }
+
+  /** Returns whether the stored row lets any host acquire the lease. */
+  boolean leaseFree() {
+    return row.filter(stored -> stored.validUntilStoreMillis() >= nowMillis).isEmpty();
+  }
+
+  /** Stops the leader. */
+  void stopLeader() {
+    stop(leader());
+  }
+
+  private Host leader() {
+    return hosts.stream().filter(host -> host.lease.isLeader(nowMillis)).findFirst().orElseThrow();
+  }
+
+  private void stop(Host host) {
+    host.stopping = true;
+    perform(host, host.lease.release(nowMillis));
+  }
+
   /** Crashes the leader permanently. */
   void crashLeader() {
     hosts.stream()
@@ -146,6 +179,9 @@
   }
 
   private void tick(Host host) {
+    if (stopRate > 0 && !host.stopping && random.nextDouble() < stopRate) {
+      stop(host);
+    }
     if (handOverRate > 0 && random.nextDouble() < handOverRate) {
       perform(host, host.lease.handOver(nowMillis));
     }
@@ -155,6 +191,8 @@
 
   private void perform(Host host, List<LeaseEffect> effects) {
     for (LeaseEffect effect : new ArrayList<>(effects)) {
+      boolean call = effect instanceof LeaseEffect.Read || effect instanceof LeaseEffect.Write;
+      host.calls += call ? 1 : 0;
       if (effect instanceof LeaseEffect.Read) {
         read(host);
       } else if (effect instanceof LeaseEffect.Write write) {
@@ -231,6 +269,7 @@
         afterMillis,
         () -> {
           if (host.runs()) {
+            host.calls--;
             action.run();
           } else if (host.suspendedUntil < Long.MAX_VALUE) {
             schedule(host.suspendedUntil - nowMillis + 1 + host.index, action);
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/HandOverTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/HandOverTest.java
@@ -100,7 +100,7 @@
     simulation.run(SETTLED_MILLIS);
     simulation.crashStrongHosts(STRONG);
 
-    long limit = TAKEOVER_MILLIS + HostNode.WEAK_HOST_DELAY_MILLIS;
+    long limit = TAKEOVER_MILLIS + LeaseCandidacy.WEAK_HOST_DELAY_MILLIS;
     assertThat(simulation.runUntilConnected(limit)).isLessThan(limit);
     assertThat(simulation.coordinatorCapacity()).isEqualTo(WEAK);
   }
@@ -133,7 +133,7 @@
     simulation.run(SETTLED_MILLIS);
     int winsBefore = simulation.leaseWins;
 
-    simulation.run(HostNode.HANDOVER_COOLDOWN_MILLIS / 2);
+    simulation.run(LeaseCandidacy.HANDOVER_COOLDOWN_MILLIS / 2);
 
     assertThat(simulation.coordinatorCapacity()).isEqualTo(WEAK);
     assertThat(simulation.leaseWins).isEqualTo(winsBefore);
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/StoppingHostTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/StoppingHostTest.java
@@ -15,8 +15,90 @@
   private static final int SEEDS = Integer.getInteger("stop.tries", 60);
   private static final long FIRST_SEED = Long.getLong("stop.seed", 1);
 
+  /** Time after which a request that can be served must have been sent to an upstream. */
+  private static final long SEND_LIMIT_MILLIS = 1_000;
+
   private static final long DEADLINE_MILLIS = 8_000;
 
+  /** Time after a stop in which requests may be refused, as no coordinator is known. */
+  private static final long TAKEOVER_MILLIS = 500;
+
+  /** Time between two stops that overlap, in milliseconds. */
+  private static final long OVERLAP_MILLIS = 500;
+
+  /** Time of the next stop in which the next coordinator has just taken over, in milliseconds. */
+  private static final long NEXT_STOP_MILLIS = 1_100;
+
+  /**
+   * Guards against keyed requests that a stopping coordinator keeps for itself although its peers
+   * follow the next one: they were sent to no upstream and got no answer.
+   */
+  @Test
+  void aStoppingCoordinatorHasItsKeyedRequestsServedByTheNextOne() {
+    StoppingFleet fleet = new StoppingFleet(3, 1);
+    HostSimulation.Host stopping = fleet.simulation.coordinatingHost();
+
+    long stopMillis = fleet.simulation.nowMillis();
+    fleet.stop(stopping);
+    runWithKeyedRequests(fleet, stopping, StoppingFleet.DRAIN_MILLIS);
+    runFor(fleet, SEND_LIMIT_MILLIS);
+
+    assertSent(fleet, stopping, stopMillis);
+    runFor(fleet, StoppingFleet.EXIT_MILLIS);
+    assertThat(fleet.unanswered).isEmpty();
+  }
+
+  /** Guards against the same at a coordinator that stops when it has just taken over. */
+  @Test
+  void aCoordinatorThatStopsAfterTakingOverHasItsKeyedRequestsServedByTheNextOne() {
+    StoppingFleet fleet = new StoppingFleet(4, 2);
+    HostSimulation.Host first = fleet.simulation.coordinatingHost();
+    fleet.stop(first);
+    runWithKeyedRequests(fleet, first, NEXT_STOP_MILLIS);
+    HostSimulation.Host second = fleet.simulation.coordinatingHost();
+    assertThat(second).isNotSameAs(first);
+
+    long stopMillis = fleet.simulation.nowMillis();
+    fleet.stop(second);
+    runWithKeyedRequests(fleet, second, StoppingFleet.DRAIN_MILLIS);
+    runFor(fleet, SEND_LIMIT_MILLIS);
+
+    assertSent(fleet, second, stopMillis);
+    runFor(fleet, StoppingFleet.EXIT_MILLIS);
+    assertThat(fleet.unanswered).isEmpty();
+  }
+
+  /** Guards against a stopping host that loses its coordinator and follows no other. */
+  @Test
+  void aStoppingHostFollowsTheNextCoordinatorWhenItsOwnStops() {
+    StoppingFleet fleet = new StoppingFleet(4, 3);
+    HostSimulation.Host coordinator = fleet.simulation.coordinatingHost();
+    HostSimulation.Host other = fleet.simulation.otherHosts().get(0);
+
+    fleet.stop(other);
+    runWithKeyedRequests(fleet, other, OVERLAP_MILLIS);
+    long stopMillis = fleet.simulation.nowMillis();
+    fleet.stop(coordinator);
+    runWithKeyedRequests(fleet, other, StoppingFleet.DRAIN_MILLIS - OVERLAP_MILLIS);
+    runFor(fleet, SEND_LIMIT_MILLIS);
+
+    assertSent(fleet, other, stopMillis);
+    runFor(fleet, StoppingFleet.EXIT_MILLIS);
+    assertThat(fleet.unanswered).isEmpty();
+  }
+
+  /** Guards against hosts that learn only by its silence that a coordinator has stopped. */
+  @Test
+  void theNextCoordinatorTakesOverAtOnce() {
+    StoppingFleet fleet = new StoppingFleet(5, 4);
+    HostSimulation.Host stopping = fleet.simulation.coordinatingHost();
+
+    fleet.stop(stopping);
+    runFor(fleet, TAKEOVER_MILLIS);
+
+    assertThat(fleet.simulation.coordinators()).anyMatch(host -> host != stopping);
+  }
+
   /** Guards against a process that ends while requests wait for an upstream that none will get. */
   @Test
   void theOnlyHostAnswersAllRequestsBeforeItEnds() {
@@ -127,4 +209,14 @@
       fleet.step();
     }
   }
+
+  /** Asserts that the requests that a host got since the last stop were sent to upstreams. */
+  private static void assertSent(
+      StoppingFleet fleet, HostSimulation.Host host, long lastStopMillis) {
+    List<StoppingFleet.Arrival> served =
+        fleet.arrivalsAt(host, lastStopMillis + TAKEOVER_MILLIS, Long.MAX_VALUE);
+    assertThat(served).isNotEmpty();
+    assertThat(served.stream().filter(arrival -> !fleet.sent.contains(arrival.request())))
+        .isEmpty();
+  }
 }
--- a/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/SiteFixture.java
@@ -182,6 +182,15 @@
     return hosts.get(index);
   }
 
+  /** Returns the index of the host that the lease row names. */
+  int coordinator() {
+    String row = store.document("hornbeamwheel-lease", "coordinator").orElseThrow();
+    return IntStream.range(0, settings.size())
+        .filter(i -> row.contains("\"" + settings.get(i).host().value() + "\""))
+        .findFirst()
+        .orElseThrow();
+  }
+
   HttpResponse<String> lookup(int host, int key) throws IOException, InterruptedException {
     return caller.lookup(address(host), key);
   }
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/KeyedUpstreamStandin.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/KeyedUpstreamStandin.java
@@ -65,6 +65,7 @@
   private volatile String retryAfter = "";
   private volatile int answerBytes;
   private volatile long runMillis;
+  private volatile long lastGrantNanos;
 
   private KeyedUpstreamStandin(String id, boolean keyed) {
     this.id = id;
@@ -117,6 +118,11 @@
     retryAfter = seconds;
   }
 
+  /** Returns the time at which the last grant arrived, in nanoseconds; zero if none did. */
+  public long lastGrantNanos() {
+    return lastGrantNanos;
+  }
+
   /** Returns the times at which requests have arrived, orders left out, in nanoseconds. */
   public List<Long> arrivalNanos() {
     return List.copyOf(arrivalNanos);
@@ -222,6 +228,7 @@
   }
 
   private int grant(JsonNode order) {
+    lastGrantNanos = System.nanoTime();
     int first = order.path("from_key").asInt();
     int last = order.path("target").asInt();
     long fence = order.path("fence").asLong();
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/StoreStandin.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/StoreStandin.java
@@ -16,6 +16,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -109,6 +110,13 @@
     notifyAll();
   }
 
+  /** Returns the document of a row; empty if there is none. */
+  public synchronized Optional<String> document(String table, String key) {
+    return Optional.ofNullable(rows.get(new RowId(table, key)))
+        .filter(row -> !row.deleted())
+        .map(row -> new String(Base64.getDecoder().decode(row.value()), StandardCharsets.UTF_8));
+  }
+
   /** Refuses all calls, or serves them again. */
   public synchronized void refuse(boolean refuse) {
     refusing = refuse;
