Refuse keyed requests at once while their coordinator has no lease

Seen by callers: while no host can hold the lease (the store is away for longer than the grants last), keyed requests waited to their deadlines and got 503 only then.

Cause: a range without a confirmed grant was expected to be ready 150 ms from now, at any time, so no request was ever expected to miss its deadline. But a coordinator without the lease sends no orders, so such a range does not become ready.

Change: without the lease, keys are expected to be handed over after as long again as the lease has been absent (LeaseAbsence). A short lapse refuses nothing that could be served; after a long one requests are refused at once, with a Retry-After.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/Coordinator.java
@@ -50,6 +50,7 @@
   private final HostLeases hostLeases;
   private final ConnectedHosts connectedHosts = new ConnectedHosts();
   private final Map<ServiceId, KeyedService> keyedServices = new HashMap<>();
+  private final LeaseAbsence leaseAbsence = new LeaseAbsence();
   private final Map<ServiceId, KeyDemand> keyDemands = new HashMap<>();
   private final Map<ServiceId, KeyMapPublisher> keyMapPublishers = new HashMap<>();
   private final Map<ServiceId, Long> publishedRevisions = new HashMap<>();
@@ -93,7 +94,10 @@
     this.catalog = catalog;
     this.broker =
         SlotBroker.create(
-            catalog, new KeyOwners(keyedServices), holdsLease, self.minLearnedSlots());
+            catalog,
+            new KeyOwners(keyedServices, leaseAbsence),
+            holdsLease,
+            self.minLearnedSlots());
     this.hostLeases = new HostLeases(nowMillis, connectedHosts, broker, holdsLease);
     this.limitPublisher = new LimitPublisher(nowMillis);
     this.holdsLease = holdsLease;
@@ -270,6 +274,7 @@
   List<HostEffect> tick(long now, boolean leaseHeld, boolean storeDoubtful) {
     nowMillis = now;
     storeDoubtfulAtLastTick = storeDoubtful;
+    leaseAbsence.update(now, leaseHeld);
     startKeyedServices(now);
     if (leaseHeld) {
       keyedServices.forEach(
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/KeyOwners.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/KeyOwners.java
@@ -11,14 +11,17 @@
 /** Looks up the owners of keys at the coordinator. */
 final class KeyOwners implements KeyLookup {
   private final Map<ServiceId, KeyedService> keyedServices;
+  private final LeaseAbsence leaseAbsence;
 
   /**
    * Creates a lookup.
    *
    * @param keyedServices the services that the coordinator manages; later changes are seen
+   * @param leaseAbsence whether the coordinator can hand over keys
    */
-  KeyOwners(Map<ServiceId, KeyedService> keyedServices) {
+  KeyOwners(Map<ServiceId, KeyedService> keyedServices, LeaseAbsence leaseAbsence) {
     this.keyedServices = keyedServices;
+    this.leaseAbsence = leaseAbsence;
   }
 
   @Override
@@ -43,9 +46,13 @@
 
   @Override
   public long readyMillis(long nowMillis, ServiceId service, int key) {
-    return keyedService(service)
-        .map(keyedService -> keyedService.readyMillis(nowMillis, key))
-        .orElse(nowMillis);
+    long readyMillis =
+        keyedService(service)
+            .map(keyedService -> keyedService.readyMillis(nowMillis, key))
+            .orElse(nowMillis);
+    return readyMillis <= nowMillis
+        ? readyMillis
+        : Math.max(readyMillis, leaseAbsence.ordersResumeMillis(nowMillis));
   }
 
   private Optional<KeyedService> keyedService(ServiceId service) {
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/StoppingFleet.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/StoppingFleet.java
@@ -172,6 +172,21 @@
         .forEach(this::exit);
   }
 
+  /** Runs for a time in milliseconds. */
+  void runFor(long millis) {
+    for (long until = simulation.nowMillis() + millis; simulation.nowMillis() < until; ) {
+      step();
+    }
+  }
+
+  /** Returns the requests that are neither answered nor at an upstream. */
+  List<Arrival> waiting() {
+    return arrivals.stream()
+        .filter(arrival -> !answered.contains(arrival.request()))
+        .filter(arrival -> !sent.contains(arrival.request()))
+        .toList();
+  }
+
   private void handleEffects(HostSimulation.Host host) {
     List<RequestEffect> effects = host.requestEffects;
     for (int i = handledEffects.getOrDefault(host, 0); i < effects.size(); i++) {
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/StoppingHostTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/StoppingHostTest.java
@@ -41,10 +41,10 @@
     long stopMillis = fleet.simulation.nowMillis();
     fleet.stop(stopping);
     runWithKeyedRequests(fleet, stopping, StoppingFleet.DRAIN_MILLIS);
-    runFor(fleet, SEND_LIMIT_MILLIS);
+    fleet.runFor(SEND_LIMIT_MILLIS);
 
     assertSent(fleet, stopping, stopMillis);
-    runFor(fleet, StoppingFleet.EXIT_MILLIS);
+    fleet.runFor(StoppingFleet.EXIT_MILLIS);
     assertThat(fleet.unanswered).isEmpty();
   }
 
@@ -61,10 +61,10 @@
     long stopMillis = fleet.simulation.nowMillis();
     fleet.stop(second);
     runWithKeyedRequests(fleet, second, StoppingFleet.DRAIN_MILLIS);
-    runFor(fleet, SEND_LIMIT_MILLIS);
+    fleet.runFor(SEND_LIMIT_MILLIS);
 
     assertSent(fleet, second, stopMillis);
-    runFor(fleet, StoppingFleet.EXIT_MILLIS);
+    fleet.runFor(StoppingFleet.EXIT_MILLIS);
     assertThat(fleet.unanswered).isEmpty();
   }
 
@@ -80,10 +80,10 @@
     long stopMillis = fleet.simulation.nowMillis();
     fleet.stop(coordinator);
     runWithKeyedRequests(fleet, other, StoppingFleet.DRAIN_MILLIS - OVERLAP_MILLIS);
-    runFor(fleet, SEND_LIMIT_MILLIS);
+    fleet.runFor(SEND_LIMIT_MILLIS);
 
     assertSent(fleet, other, stopMillis);
-    runFor(fleet, StoppingFleet.EXIT_MILLIS);
+    fleet.runFor(StoppingFleet.EXIT_MILLIS);
     assertThat(fleet.unanswered).isEmpty();
   }
 
@@ -94,7 +94,7 @@
     HostSimulation.Host stopping = fleet.simulation.coordinatingHost();
 
     fleet.stop(stopping);
-    runFor(fleet, TAKEOVER_MILLIS);
+    fleet.runFor(TAKEOVER_MILLIS);
 
     assertThat(fleet.simulation.coordinators()).anyMatch(host -> host != stopping);
   }
@@ -107,7 +107,7 @@
 
     fleet.stop(stopping);
     runWithKeyedRequests(fleet, stopping, StoppingFleet.EXIT_MILLIS);
-    runFor(fleet, 200);
+    fleet.runFor(200);
 
     assertThat(fleet.arrivals).isNotEmpty();
     assertThat(fleet.unanswered).isEmpty();
@@ -203,13 +203,6 @@
     }
   }
 
-  private static void runFor(StoppingFleet fleet, long millis) {
-    for (long until = fleet.simulation.nowMillis() + millis;
-        fleet.simulation.nowMillis() < until; ) {
-      fleet.step();
-    }
-  }
-
   /** Asserts that the requests that a host got since the last stop were sent to upstreams. */
   private static void assertSent(
       StoppingFleet fleet, HostSimulation.Host host, long lastStopMillis) {
