Log what a request waits for when its wait becomes long

Each wait of 1 s now gets a line with its key, its age and the term that is asked.

StoppingHostTest and RequestFlowTest pass.

--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/InFlightRequest.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/InFlightRequest.java
@@ -35,6 +35,7 @@
   State state = State.AWAITING_SLOT;
   long slotRequestNumber;
   long slotRequestedMillis;
+  boolean longWait;
   long sentMillis;
   boolean decidedByCoordinator;
   boolean callerDisconnected;
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestFlow.java
@@ -317,6 +317,9 @@
         .filter(request -> nowMillis >= request.deadlineMillis)
         .forEach(request -> expire(nowMillis, request));
     shutdown.tick(nowMillis);
+    slotRequests
+        .takeLongWaits(nowMillis)
+        .forEach(request -> effects.add(responses.log().waits(nowMillis, request)));
     return drainEffects();
   }
 
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/RequestLog.java
@@ -96,6 +96,14 @@
             .with("leasedPartitions", leasedPartitions));
   }
 
+  /** Returns the entry of a request that has waited long for a slot of the coordinator it names. */
+  RequestEffect waits(long nowMillis, InFlightRequest request) {
+    return new RequestEffect.Log(
+        describe(LogEntry.of("request-waits"), nowMillis, request)
+            .with("slotRequest", request.slotRequestNumber)
+            .with("slotAgeMillis", nowMillis - request.slotRequestedMillis));
+  }
+
   /** Returns the entry of a failed attempt at an upstream. */
   RequestEffect attemptFailed(long nowMillis, InFlightRequest request, AttemptResult result) {
     return new RequestEffect.Log(
--- a/core/src/main/java/dev/hornbeamwheel/core/host/request/SlotRequests.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/request/SlotRequests.java
@@ -13,6 +13,9 @@
 
 /** The slot requests of this host that the coordinator has not answered yet. */
 final class SlotRequests {
+  /** Time after which a wait is logged, in milliseconds. */
+  private static final long LONG_WAIT_MILLIS = 1_000;
+
   private final Map<Long, InFlightRequest> waiting = new HashMap<>();
   private final ColdAllowance coldAllowance;
   private final ShareAllowance shares;
@@ -54,8 +57,20 @@
     return cancelled;
   }
 
+  /** Returns the requests whose wait has become long since the last call. */
+  List<InFlightRequest> takeLongWaits(long nowMillis) {
+    List<InFlightRequest> waits =
+        waiting.values().stream()
+            .filter(request -> !request.longWait)
+            .filter(request -> nowMillis - request.slotRequestedMillis >= LONG_WAIT_MILLIS)
+            .toList();
+    waits.forEach(request -> request.longWait = true);
+    return waits;
+  }
+
   /** Gives a request the number of its next slot request. */
   void number(long nowMillis, InFlightRequest request) {
+    request.longWait = false;
     request.slotRequestNumber = nextNumber++;
     request.slotRequestedMillis = nowMillis;
   }
