Read the lease row when its holder offers the lease, not when it would have expired

Cause: a host that looks for a coordinator and finds one plans its next read for the expiry of that lease. An offer of the holder did not bring this read forward.

Change: the first heartbeat that offers the lease makes the read due (CoordinatorLease.offered).

--- a/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/lease/CoordinatorLease.java
@@ -72,6 +72,7 @@
   private final Address address;
   private final Random random;
   private final List<LeaseEffect> effects = new ArrayList<>();
+  private final StoreClock storeClock = new StoreClock();
 
   private boolean leader;
   private boolean releasing;
@@ -83,9 +84,6 @@
   private StoreVersion outdatedVersion = StoreVersion.unknown();
   private long outdatedSinceStoreMillis;
   private long validUntilStoreMillis;
-  private long storeMillis;
-  private long storeRequestMillis;
-  private long storeResponseMillis;
   private long pendingCallMillis = -1;
   private boolean pendingWrite;
   private boolean writeInDoubt;
@@ -121,13 +119,15 @@
    * the store's clock.
    */
   public boolean isLeader(long nowMillis) {
-    return leader && latestStoreMillis(nowMillis) < validUntilStoreMillis - EXPIRY_MARGIN_MILLIS;
+    return leader
+        && storeClock.latestMillis(nowMillis) < validUntilStoreMillis - EXPIRY_MARGIN_MILLIS;
   }
 
   /** Returns whether a renewal is overdue, which indicates that the store may be unavailable. */
   public boolean renewalOverdue(long nowMillis) {
     return leader
-        && nowMillis - storeRequestMillis > RENEW_INTERVAL_MILLIS + RENEW_INTERVAL_MILLIS / 2;
+        && nowMillis - storeClock.requestMillis()
+            > RENEW_INTERVAL_MILLIS + RENEW_INTERVAL_MILLIS / 2;
   }
 
   /** Returns the latest term that this host acquired or tried to acquire; zero if there is none. */
@@ -182,6 +182,12 @@
     acquireDelayMillis = millis;
   }
 
+  /** Makes the next read due, since the holder says that it has given up the lease. */
+  public void offered(long nowMillis) {
+    nextAcquireMillis =
+        Math.min(nextAcquireMillis, nowMillis + random.nextInt(ACQUIRE_JITTER_MILLIS));
+  }
+
   /** Stops acquiring the lease, since a coordinator is reachable. */
   public void cancelAcquire() {
     acquiring = false;
@@ -269,8 +275,7 @@
 
   /** Returns a row of this term that has certainly expired on the store's clock. */
   private LeaseRow expiredRow(long nowMillis) {
-    long earliestStoreMillis = storeMillis + nowMillis - storeResponseMillis;
-    return row(earliestStoreMillis - 1);
+    return row(storeClock.earliestMillis(nowMillis) - 1);
   }
 
   /** Handles the result of {@link LeaseEffect.Read}. */
@@ -287,7 +292,7 @@
     writeInDoubt = false;
     read.row().map(LeaseRow::fleetSize).ifPresent(this::updateFleetSize);
     if (releaseDue) {
-      releaseRead(nowMillis, read);
+      releaseRead(nowMillis, requestMillis, read);
       return drainEffects();
     }
     Optional<LeaseRow> ownRow =
@@ -313,7 +318,7 @@
   }
 
   /** Goes on with the release after a read that resolved which row is stored. */
-  private void releaseRead(long nowMillis, LeaseRead read) {
+  private void releaseRead(long nowMillis, long requestMillis, LeaseRead read) {
     version = read.version();
     boolean held =
         read.row()
@@ -322,8 +327,7 @@
             .filter(row -> row.validUntilStoreMillis() >= read.storeMillis())
             .isPresent();
     if (held) {
-      storeMillis = read.storeMillis();
-      storeResponseMillis = nowMillis;
+      storeClock.observed(requestMillis, nowMillis, read.storeMillis());
       continueRelease(nowMillis);
     } else {
       released();
@@ -340,9 +344,7 @@
   }
 
   private void acquireIfExpired(long nowMillis, long requestMillis, LeaseRead read) {
-    storeMillis = read.storeMillis();
-    storeRequestMillis = requestMillis;
-    storeResponseMillis = nowMillis;
+    storeClock.observed(requestMillis, nowMillis, read.storeMillis());
     long remainingMillis = remainingMillis(read);
     if (releasing) {
       lookForHolder(nowMillis, read, remainingMillis);
@@ -402,9 +404,7 @@
   /** Updates the lease from a row of this host that is in the store. */
   private void applyOwnRow(
       long nowMillis, long requestMillis, long responseStoreMillis, LeaseRow row) {
-    storeMillis = responseStoreMillis;
-    storeRequestMillis = requestMillis;
-    storeResponseMillis = nowMillis;
+    storeClock.observed(requestMillis, nowMillis, responseStoreMillis);
     // If the row is lost, its expiry is unknown, so that it must have a limit.
     validUntilStoreMillis =
         Math.min(
@@ -412,7 +412,7 @@
             responseStoreMillis + LEASE_DURATION_MILLIS + MAX_TRANSIT_MILLIS);
     nextRenewMillis = requestMillis + RENEW_INTERVAL_MILLIS;
     if (!leader
-        && latestStoreMillis(requestMillis) < validUntilStoreMillis - EXPIRY_MARGIN_MILLIS) {
+        && storeClock.latestMillis(requestMillis) < validUntilStoreMillis - EXPIRY_MARGIN_MILLIS) {
       leader = true;
       acquiring = false;
       heldTerm = term;
@@ -481,12 +481,8 @@
     effects.add(new LeaseEffect.Lost(term, reason));
   }
 
-  private long latestStoreMillis(long nowMillis) {
-    return storeMillis + nowMillis - storeRequestMillis;
-  }
-
   private long newExpiryStoreMillis(long nowMillis) {
-    return latestStoreMillis(nowMillis) + LEASE_DURATION_MILLIS;
+    return storeClock.latestMillis(nowMillis) + LEASE_DURATION_MILLIS;
   }
 
   private List<LeaseEffect> drainEffects() {
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/HostNode.java
@@ -338,7 +338,9 @@
       }
       updateBestCapacity(heartbeat.bestCapacity());
       coordinator.ifPresent(c -> lease.updateFleetSize(c.fleetSize(now)));
-      candidacy.offerReported(now, heartbeat.handingOver());
+      if (candidacy.offerReported(now, heartbeat.handingOver())) {
+        lease.offered(now);
+      }
       requestFlow.heartbeatReceived(now, heartbeat.term(), heartbeat.connectedHosts());
       heartbeat.coldLease().ifPresent(cold -> requestFlow.coldAllowance().granted(now, cold));
       heartbeat.shareLease().ifPresent(requestFlow.shares()::granted);
--- a/core/src/main/java/dev/hornbeamwheel/core/host/node/LeaseCandidacy.java
+++ b/core/src/main/java/dev/hornbeamwheel/core/host/node/LeaseCandidacy.java
@@ -33,12 +33,17 @@
     best = capacity;
   }
 
-  /** Records whether the coordinator offers the lease to the strongest of the other hosts. */
-  void offerReported(long nowMillis, boolean offering) {
+  /**
+   * Records whether the coordinator offers the lease to the strongest of the other hosts; returns
+   * whether it has just begun to.
+   */
+  boolean offerReported(long nowMillis, boolean offering) {
+    boolean begun = offering && !offered;
     offered = offering;
     if (offering && !strong()) {
       handoverAtMillis = nowMillis + HANDOVER_COOLDOWN_MILLIS;
     }
+    return begun;
   }
 
   /** Forgets the offer, as another coordinator is followed. */
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/StoppingHostTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/StoppingHostTest.java
@@ -99,6 +99,26 @@
     assertThat(fleet.simulation.coordinators()).anyMatch(host -> host != stopping);
   }
 
+  /** Guards against hosts that wait for the expiry of a lease which was released meanwhile. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void aLeaseIsTakenOverAtOnceFromACoordinatorThatHasJustTakenItOver(long seed) {
+    StoppingFleet fleet = new StoppingFleet(4, seed);
+    HostSimulation.Host first = fleet.simulation.coordinatingHost();
+    fleet.stop(first);
+    while (fleet.simulation.coordinators().stream().allMatch(fleet::stopping)) {
+      fleet.step();
+    }
+    fleet.simulation.coordinators().stream()
+        .filter(host -> !fleet.stopping(host))
+        .toList()
+        .forEach(fleet::stop);
+
+    fleet.runFor(TAKEOVER_MILLIS);
+
+    assertThat(fleet.simulation.coordinators()).anyMatch(host -> !fleet.stopping(host));
+  }
+
   /** Guards against a process that ends while requests wait for an upstream that none will get. */
   @Test
   void theOnlyHostAnswersAllRequestsBeforeItEnds() {
