Keep wire names in the stand-ins' caller, and reword two comments

PlannedStopTest wrote the header names of the wire itself; SiteCaller.keyedHeaderLines does now. Two comments of tests read oddly.

--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/ColdUpstreamFleetTest.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/ColdUpstreamFleetTest.java
@@ -104,7 +104,7 @@
     assertThat((double) fleet.mostInOneSecond()).isLessThanOrEqualTo(ColdFleet.MAX_PER_SECOND);
   }
 
-  /** Guards against a flood of a cold upstream while nobody can take the lease. */
+  /** Guards against a flood of a cold upstream while no host can acquire the lease. */
   @ParameterizedTest
   @CsvSource({"41, 20", "42, 95", "43, 144"})
   void coldUpstreamsStayWithinTheirBoundWhileTheStoreIsAway(long seed, int hosts) {
--- a/core/src/test/java/dev/hornbeamwheel/core/host/node/SimulatedKeys.java
+++ b/core/src/test/java/dev/hornbeamwheel/core/host/node/SimulatedKeys.java
@@ -11,7 +11,9 @@
 final class SimulatedKeys {
   private SimulatedKeys() {}
 
-  /** Returns what the coordinator hears, by the time at which it does; empty if nothing. */
+  /**
+   * Returns the event that ends an effect, created with the time of its delivery; empty if none.
+   */
   static Optional<LongFunction<HostEvent>> respond(HostEffect.Keys keys, SimulatedStore store) {
     if (keys.effect() instanceof KeyEffect.ReadTable) {
       TableReadResult result = store.readKeyTable();
--- a/host/src/test/java/dev/hornbeamwheel/host/PlannedStopTest.java
+++ b/host/src/test/java/dev/hornbeamwheel/host/PlannedStopTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.hornbeamwheel.standins.site.SiteCaller;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -170,15 +171,9 @@
   private static Sent request(int host, Socket connection, int key, long stopNanos) {
     long beforeNanos = System.nanoTime();
     String request =
-        """
-        GET /lookup/%d HTTP/1.1\r
-        Host: 127.0.0.1\r
-        X-Hornbeamwheel-Request-Attempt-Id: %016x\r
-        X-Hornbeamwheel-Deadline-Milliseconds: %d\r
-        X-Hornbeamwheel-Shard-Key: %d\r
-        \r
-        """
-            .formatted(key, beforeNanos, DEADLINE_MILLIS, key);
+        "GET /lookup/%d HTTP/1.1\r\n".formatted(key)
+            + SiteCaller.keyedHeaderLines(beforeNanos, DEADLINE_MILLIS, key)
+            + "\r\n";
     int status = 0;
     try (connection) {
       connection.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
--- a/standins/src/main/java/dev/hornbeamwheel/standins/site/SiteCaller.java
+++ b/standins/src/main/java/dev/hornbeamwheel/standins/site/SiteCaller.java
@@ -34,6 +34,14 @@
       X-Hornbeamwheel-Deadline-Milliseconds: 2500\r
       """;
 
+  private static final String KEYED_HEADER_LINES =
+      """
+      Host: 127.0.0.1\r
+      X-Hornbeamwheel-Request-Attempt-Id: %016x\r
+      X-Hornbeamwheel-Deadline-Milliseconds: %d\r
+      X-Hornbeamwheel-Shard-Key: %d\r
+      """;
+
   private static final Duration DEADLINE = Duration.ofMillis(2_500);
 
   private final HttpClient http = HttpClient.newHttpClient();
@@ -43,6 +51,15 @@
     this.deadline = deadline;
   }
 
+  /**
+   * Returns the header lines of a request with a key; the blank line is missing.
+   *
+   * @param attemptId id of the caller's attempt
+   */
+  public static String keyedHeaderLines(long attemptId, long deadlineMillis, int key) {
+    return KEYED_HEADER_LINES.formatted(attemptId, deadlineMillis, key);
+  }
+
   /** Returns a caller that keeps its connections. */
   public static SiteCaller create() {
     return create(DEADLINE);
