--- a/review/common-3/Site.java
+++ b/review/common-3/Site.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -85,11 +86,13 @@
   final Store store = Store.start();
   final List<Host> hosts = new ArrayList<>();
   private final Path folder;
-  private final List<Process> started = new ArrayList<>();
+  private final List<Process> started = new CopyOnWriteArrayList<>();
 
   /** Creates a site of some hosts, which are not started yet. */
   Site(int hostCount) throws IOException {
     folder = Files.createTempDirectory("review-3-");
+    // Ends the processes also if this one is told to end.
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> started.forEach(Process::destroyForcibly)));
     for (int i = 0; i < hostCount; i++) {
       hosts.add(new Host(i));
     }
@@ -111,10 +114,6 @@
     throw new IllegalStateException("the hosts were not ready in time");
   }
 
-  Path folder() {
-    return folder;
-  }
-
   @Override
   public void close() throws IOException {
     for (Process process : started) {
