--- a/review/common-3/Site.java
+++ b/review/common-3/Site.java
@@ -6,7 +6,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +18,9 @@
 final class Site implements AutoCloseable {
   private static final String[] DATA_CENTRES = {"quimper", "morlaix", "vannes"};
 
+  /** Ports that were chosen or found in use. */
+  private static final Set<Integer> TAKEN_PORTS = new HashSet<>();
+
   /** An entry host, whose process may be started several times. */
   final class Host {
     final String name;
@@ -141,6 +146,9 @@
   private static int freePort() {
     while (true) {
       int port = ThreadLocalRandom.current().nextInt(20_000, 30_000);
+      if (!TAKEN_PORTS.add(port)) {
+        continue;
+      }
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
         return socket.getLocalPort();
       } catch (IOException e) {
